--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Administration API of a balancer.
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission decisions at the agent: slots, queues, at-most-once, retries.
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent process beside each upstream.
--- /dev/null
+++ b/crates/balancer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Balancer process: packet path and control plane.
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! Caller library: streams, reservations and sheets over QUIC.
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files, profiles and services, and how a change of them spreads.
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, the fabric, upstreams and callers.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership state machines: announcements, gossip, failure detection.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions of the balancer: connection identifiers, slot tables, relays.
--- /dev/null
+++ b/crates/timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Time line of events over all processes.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,1 @@
+//! Identifiers, units, result codes and domain types shared by every part.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between the processes of the system and their codecs.
