--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,1 +1,18 @@
 //! Identifiers, units, result codes and domain types shared by every part.
+
+mod code;
+mod identifier;
+mod newtype;
+mod profile;
+mod service;
+mod unit;
+
+pub use code::{Ran, ResultCode, Retry};
+pub use identifier::{
+    EndpointId, Epoch, FailureDomain, Incarnation, NodeId, ProfileName, Region, Sequence,
+    ServiceId, ServiceName, SessionId, Version,
+};
+pub use newtype::ParseValueError;
+pub use profile::{Profile, ProfileProblem, Treatment, Urgency, WorkKind, WorkProfile};
+pub use service::{Phase, Service, Transport};
+pub use unit::{ByteCount, DurationMs, PerMille, RatePerSecond, SlotCount, TimeMs, Weight};
--- /dev/null
+++ b/crates/wire/src/envelope.rs
@@ -0,0 +1,199 @@
+//! Authenticated envelope around control messages.
+//!
+//! Layout: version (1 byte), cluster (4), sender (8), incarnation (8), number (8), the encoded
+//! message, and a keyed BLAKE3 tag over all of it (16). Integers are big-endian.
+
+use hawthorntide_types::{Incarnation, NodeId, ResultCode};
+use prost::Message;
+use zerocopy::byteorder::big_endian::{U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+use crate::control::ControlMessage;
+
+/// Largest control datagram; fits the minimum MTU of IPv6 with headers to spare.
+pub const MAX_CONTROL_BYTES: usize = 1200;
+
+const VERSION: u8 = 1;
+const TAG_BYTES: usize = 16;
+const HEADER_BYTES: usize = size_of::<Header>();
+
+/// Numbers that a replay window remembers below the highest one; covers reordering in the network.
+const WINDOW_NUMBERS: u64 = 64;
+
+#[derive(FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned)]
+#[repr(C)]
+struct Header {
+    version: u8,
+    cluster: U32,
+    sender: U64,
+    incarnation: U64,
+    number: U64,
+}
+
+/// Secret that all processes of a deployment share.
+#[derive(Clone)]
+pub struct ClusterKey([u8; 32]);
+
+impl ClusterKey {
+    /// Wraps the 32 bytes of a key.
+    pub const fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+}
+
+impl std::fmt::Debug for ClusterKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("ClusterKey(..)")
+    }
+}
+
+/// Seals and opens control datagrams of one cluster.
+#[derive(Clone, Debug)]
+pub struct ControlCodec {
+    cluster: u32,
+    key: ClusterKey,
+}
+
+/// Control message whose tag was valid.
+#[derive(Clone, Debug)]
+pub struct Opened {
+    /// Process that sent the message.
+    pub sender: NodeId,
+    /// Life of the sender.
+    pub incarnation: Incarnation,
+    /// Number of the message within that life.
+    pub number: u64,
+    /// The message.
+    pub message: ControlMessage,
+}
+
+/// Numbering of the messages that one process sends.
+#[derive(Clone, Debug)]
+pub struct SealedSender {
+    codec: ControlCodec,
+    sender: NodeId,
+    incarnation: Incarnation,
+    next_number: u64,
+}
+
+impl ControlCodec {
+    /// Creates a codec for the cluster called `cluster`.
+    pub fn new(cluster: &str, key: ClusterKey) -> Self {
+        let hash = blake3::hash(cluster.as_bytes());
+        let bytes = hash.as_bytes();
+        let cluster = u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
+        Self { cluster, key }
+    }
+
+    /// Returns a sender for the process `sender` in its life `incarnation`.
+    pub fn sender(&self, sender: NodeId, incarnation: Incarnation) -> SealedSender {
+        SealedSender {
+            codec: self.clone(),
+            sender,
+            incarnation,
+            next_number: 1,
+        }
+    }
+
+    /// Checks and decodes a datagram.
+    pub fn open(&self, datagram: &[u8]) -> Result<Opened, ResultCode> {
+        if datagram.len() > MAX_CONTROL_BYTES {
+            return Err(ResultCode::PacketOversized);
+        }
+        let Some(body_end) = datagram.len().checked_sub(TAG_BYTES) else {
+            return Err(ResultCode::PacketMalformed);
+        };
+        let (sealed, tag) = datagram.split_at(body_end);
+        let Ok((header, body)) = Header::ref_from_prefix(sealed) else {
+            return Err(ResultCode::PacketMalformed);
+        };
+        if header.version != VERSION {
+            return Err(ResultCode::PacketMalformed);
+        }
+        if header.cluster.get() != self.cluster {
+            return Err(ResultCode::ClusterForeign);
+        }
+        // `Hash` comparison is constant-time; the stored tag is its first 16 bytes.
+        let mut padded = [0; 32];
+        let expected = blake3::keyed_hash(&self.key.0, sealed);
+        padded[..TAG_BYTES].copy_from_slice(tag);
+        padded[TAG_BYTES..].copy_from_slice(&expected.as_bytes()[TAG_BYTES..]);
+        if expected != blake3::Hash::from_bytes(padded) {
+            return Err(ResultCode::MessageForged);
+        }
+        let Ok(message) = ControlMessage::decode(body) else {
+            return Err(ResultCode::PacketMalformed);
+        };
+        Ok(Opened {
+            sender: NodeId(header.sender.get()),
+            incarnation: Incarnation(header.incarnation.get()),
+            number: header.number.get(),
+            message,
+        })
+    }
+}
+
+impl SealedSender {
+    /// Encodes and seals `message`; fails when it does not fit a control datagram.
+    pub fn seal(&mut self, message: &ControlMessage) -> Result<Vec<u8>, ResultCode> {
+        let length = HEADER_BYTES + message.encoded_len() + TAG_BYTES;
+        if length > MAX_CONTROL_BYTES {
+            return Err(ResultCode::PacketOversized);
+        }
+        let header = Header {
+            version: VERSION,
+            cluster: U32::new(self.codec.cluster),
+            sender: U64::new(self.sender.get()),
+            incarnation: U64::new(self.incarnation.get()),
+            number: U64::new(self.next_number),
+        };
+        self.next_number += 1;
+        let mut datagram = Vec::with_capacity(length);
+        datagram.extend_from_slice(header.as_bytes());
+        datagram.extend_from_slice(&message.encode_to_vec());
+        let tag = blake3::keyed_hash(&self.codec.key.0, &datagram);
+        datagram.extend_from_slice(&tag.as_bytes()[..TAG_BYTES]);
+        Ok(datagram)
+    }
+}
+
+/// Recent numbers of one sender.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReplayWindow {
+    incarnation: Incarnation,
+    highest: u64,
+    seen: u64,
+}
+
+impl ReplayWindow {
+    /// Records a number; fails when it was seen before, is too old, or belongs to an earlier life.
+    pub fn accept(&mut self, incarnation: Incarnation, number: u64) -> Result<(), ResultCode> {
+        if incarnation < self.incarnation {
+            return Err(ResultCode::MessageReplayed);
+        }
+        if incarnation > self.incarnation {
+            *self = Self {
+                incarnation,
+                highest: number,
+                seen: 1,
+            };
+            return Ok(());
+        }
+        if number > self.highest {
+            let shift = number - self.highest;
+            self.seen = if shift < WINDOW_NUMBERS {
+                self.seen << shift
+            } else {
+                0
+            } | 1;
+            self.highest = number;
+            return Ok(());
+        }
+        let age = self.highest - number;
+        if age >= WINDOW_NUMBERS || self.seen & (1 << age) != 0 {
+            return Err(ResultCode::MessageReplayed);
+        }
+        self.seen |= 1 << age;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,85 @@
+//! Length-delimited protobuf messages on a byte stream, with a limit on their size.
+
+use bytes::{Buf, BytesMut};
+use prost::Message;
+
+/// Failure to decode a frame.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FrameError {
+    /// The announced length is over the limit.
+    TooLarge,
+    /// The bytes are no message of the expected type.
+    Malformed,
+}
+
+impl std::fmt::Display for FrameError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::TooLarge => "frame is larger than accepted",
+            Self::Malformed => "frame is malformed",
+        })
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+/// Longest length prefix of a 32-bit length.
+const MAX_PREFIX_BYTES: usize = 5;
+
+/// Encodes `message` with its length in front.
+pub fn encode_frame(message: &impl Message) -> Vec<u8> {
+    message.encode_length_delimited_to_vec()
+}
+
+/// Collects bytes of a stream and returns whole messages.
+#[derive(Debug)]
+pub struct FrameReader {
+    buffer: BytesMut,
+    max_bytes: usize,
+}
+
+impl FrameReader {
+    /// Creates a reader that refuses messages over `max_bytes`.
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            max_bytes,
+        }
+    }
+
+    /// Appends bytes that were received.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns whether bytes of an incomplete message are left.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Returns the next whole message, or `None` when more bytes are needed.
+    pub fn next_message<M: Message + Default>(&mut self) -> Result<Option<M>, FrameError> {
+        let mut view = &self.buffer[..];
+        let Ok(length) = prost::decode_length_delimiter(&mut view) else {
+            let is_short = self.buffer.len() < MAX_PREFIX_BYTES;
+            return if is_short {
+                Ok(None)
+            } else {
+                Err(FrameError::Malformed)
+            };
+        };
+        if length > self.max_bytes {
+            return Err(FrameError::TooLarge);
+        }
+        if view.len() < length {
+            return Ok(None);
+        }
+        let prefix = self.buffer.len() - view.len();
+        self.buffer.advance(prefix);
+        let body = self.buffer.split_to(length);
+        let Ok(message) = M::decode(body) else {
+            return Err(FrameError::Malformed);
+        };
+        Ok(Some(message))
+    }
+}
