Add the client of the platform store and its stand-in

Writers need conditional updates whose outcome is known or reported as open. Each stored value carries a write id. A lost answer is resolved by the present write id or, when the object was changed again, by the history of the watch; without a complete history the outcome stays open. Retries are jittered and limited to 10 % of the calls.

--- /dev/null
+++ b/crates/emulator/src/store/serve.rs
@@ -0,0 +1,148 @@
+//! Connections of the store: accepted while it is up, closed when it goes down.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use gotham::hyper::Request;
+use gotham::hyper::body::Incoming;
+use gotham::hyper::server::conn::http1;
+use gotham::hyper::service::service_fn;
+use gotham::hyper_util::rt::TokioIo;
+use gotham::router::Router;
+use gotham::service::call_handler;
+use gotham::state::{State, StateData};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::api::{self, StoreState};
+use super::state::Shared;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Address of the store; the port stays reserved while the store is down.
+#[derive(Debug)]
+pub(super) struct Listener {
+    address: SocketAddr,
+    socket: TcpSocket,
+}
+
+/// Closes the connection of a request without an answer.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ConnectionCut(Arc<Notify>);
+
+impl ConnectionCut {
+    /// Closes the connection before the answer to the request is written.
+    pub(super) fn close(&self) {
+        self.0.notify_one();
+    }
+}
+
+impl StateData for ConnectionCut {}
+
+impl Listener {
+    pub(super) fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let socket = reserve(address)?;
+        let address = socket.local_addr()?;
+        Ok(Self { address, socket })
+    }
+
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Serves the API, following the fault that takes the store down.
+pub(super) async fn run(listener: Listener, shared: Arc<Shared>) {
+    let Listener {
+        address,
+        mut socket,
+    } = listener;
+    let router = api::router();
+    let mut faults = shared.fault_changes();
+    loop {
+        if faults.wait_for(|faults| !faults.is_down).await.is_err() {
+            return;
+        }
+        let Ok(listener) = socket.listen(BACKLOG) else {
+            log::error!("emulator: store cannot listen at {address}");
+            return;
+        };
+        let mut connections = JoinSet::new();
+        tokio::select! {
+            () = accept(&listener, &router, &shared, &mut connections) => {}
+            _ = faults.wait_for(|faults| faults.is_down) => {}
+        }
+        connections.shutdown().await;
+        drop(listener);
+        socket = match reserve(address) {
+            Ok(socket) => socket,
+            Err(error) => {
+                log::error!("emulator: store cannot bind {address}: {error}");
+                return;
+            }
+        };
+    }
+}
+
+fn reserve(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+async fn accept(
+    listener: &TcpListener,
+    router: &Router,
+    shared: &Arc<Shared>,
+    connections: &mut JoinSet<()>,
+) {
+    loop {
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let state = StoreState(Arc::clone(shared));
+                connections.spawn(serve(stream, peer, router.clone(), state));
+            }
+            Err(error) => log::warn!("emulator: store cannot accept a connection: {error}"),
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, peer: SocketAddr, router: Router, store: StoreState) {
+    let cut = ConnectionCut::default();
+    let handler = Arc::new(router);
+    let service = service_fn(|request: Request<Incoming>| {
+        let handler = Arc::clone(&handler);
+        let (cut, store) = (cut.clone(), store.clone());
+        // A task of its own: a write of a slow store takes effect even when its caller has gone.
+        let call = tokio::spawn(async move {
+            sleep(store.0.faults().delay_ms.into()).await;
+            let mut state = State::from_request(request, peer);
+            state.put(cut);
+            state.put(store);
+            call_handler(handler, AssertUnwindSafe(state)).await
+        });
+        async move {
+            let response = call.await.ok().and_then(Result::ok);
+            Ok::<_, Infallible>(response.unwrap_or_default())
+        }
+    });
+    let _ = stream.set_nodelay(true);
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // The cut goes first, since the answer is ready at the same moment.
+        biased;
+        () = cut.0.notified() => {}
+        _ = connection => {}
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/store/state.rs
@@ -0,0 +1,229 @@
+//! Objects, history and faults of the store.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hawthorntide_platform::{ListBody, ObjectBody, WatchBody};
+use hawthorntide_types::Version;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::StoreServerOptions;
+use super::fault::{CallCounts, StoreFaults};
+
+/// Window of the call limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(1);
+
+/// State shared by all connections.
+#[derive(Debug)]
+pub(super) struct Shared {
+    state: Mutex<State>,
+    faults: watch::Sender<StoreFaults>,
+    changed: watch::Sender<Version>,
+}
+
+/// Objects with their history, and what the faults need.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) revision: Version,
+    pub(super) counts: CallCounts,
+    pub(super) lose_next_answers: u32,
+    /// Sorted by kind and name.
+    objects: Vec<ObjectBody>,
+    history: VecDeque<Change>,
+    history_events: usize,
+    window_start: Instant,
+    window_calls: u32,
+    random: ChaCha8Rng,
+}
+
+/// One change with the time at which it was made.
+#[derive(Debug)]
+struct Change {
+    at: Instant,
+    object: ObjectBody,
+}
+
+/// Kind of a call.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Call {
+    Get,
+    List,
+    Put,
+    Watch,
+}
+
+/// What a watch gets.
+pub(super) enum WatchAnswer {
+    /// Changes are due.
+    Changes(WatchBody),
+    /// Nothing is due before this time, unless something changes.
+    Wait(Option<Instant>),
+    /// The revision is not in the history.
+    Gone,
+}
+
+impl Shared {
+    pub(super) fn new(options: StoreServerOptions) -> Self {
+        let state = State {
+            revision: Version::NONE,
+            counts: CallCounts::default(),
+            lose_next_answers: 0,
+            objects: Vec::new(),
+            history: VecDeque::new(),
+            history_events: options.history_events,
+            window_start: Instant::now(),
+            window_calls: 0,
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+        };
+        Self {
+            state: Mutex::new(state),
+            faults: watch::Sender::default(),
+            changed: watch::Sender::new(Version::NONE),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn faults(&self) -> StoreFaults {
+        self.faults.borrow().clone()
+    }
+
+    pub(super) fn set_faults(&self, faults: StoreFaults) {
+        self.faults.send_replace(faults);
+    }
+
+    pub(super) fn fault_changes(&self) -> watch::Receiver<StoreFaults> {
+        self.faults.subscribe()
+    }
+
+    pub(super) fn changes(&self) -> watch::Receiver<Version> {
+        self.changed.subscribe()
+    }
+
+    /// Tells waiting watches of the present revision.
+    pub(super) fn announce(&self) {
+        let revision = self.lock().revision;
+        self.changed.send_replace(revision);
+    }
+}
+
+impl State {
+    /// Counts a call; returns false when it is over the limit.
+    pub(super) fn count(&mut self, call: Call, faults: &StoreFaults) -> bool {
+        if self.window_start.elapsed() >= LIMIT_WINDOW {
+            self.window_start = Instant::now();
+            self.window_calls = 0;
+        }
+        self.window_calls += 1;
+        if let Some(limit) = faults.call_limit
+            && self.window_calls > limit.get()
+        {
+            self.counts.limited += 1;
+            return false;
+        }
+        let count = match call {
+            Call::Get => &mut self.counts.get,
+            Call::List => &mut self.counts.list,
+            Call::Put => &mut self.counts.put,
+            Call::Watch => &mut self.counts.watch,
+        };
+        *count += 1;
+        true
+    }
+
+    pub(super) fn get(&self, kind: &str, name: &str) -> Option<&ObjectBody> {
+        let index = self.position(kind, name).ok()?;
+        self.objects.get(index)
+    }
+
+    pub(super) fn list(&self) -> ListBody {
+        ListBody {
+            revision: self.revision,
+            objects: self.objects.clone(),
+        }
+    }
+
+    /// Writes a value if the object has the version `expected`; returns the object as it is otherwise.
+    pub(super) fn put(
+        &mut self,
+        kind: &str,
+        name: &str,
+        value: String,
+        expected: Version,
+    ) -> Result<Version, Option<ObjectBody>> {
+        let position = self.position(kind, name);
+        let current = position.ok().and_then(|index| self.objects.get(index));
+        if current.map_or(Version::NONE, |object| object.version) != expected {
+            return Err(current.cloned());
+        }
+        self.revision = Version(self.revision.get() + 1);
+        let object = ObjectBody {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            version: self.revision,
+            value,
+        };
+        self.remember(object.clone());
+        match position {
+            Ok(index) => self.objects[index] = object,
+            Err(index) => self.objects.insert(index, object),
+        }
+        Ok(self.revision)
+    }
+
+    /// Returns the changes after `from` that are at least as old as the event delay.
+    pub(super) fn changes_after(&self, from: Version, faults: &StoreFaults) -> WatchAnswer {
+        let oldest = self.revision.get() - self.history.len() as u64;
+        if from.get() < oldest || from > self.revision {
+            return WatchAnswer::Gone;
+        }
+        let delay = Duration::from(faults.event_delay_ms);
+        let now = Instant::now();
+        let after = self
+            .history
+            .iter()
+            .skip((from.get() - oldest) as usize)
+            .take_while(|change| change.at + delay <= now);
+        let events: Vec<ObjectBody> = after.map(|change| change.object.clone()).collect();
+        if let Some(last) = events.last() {
+            return WatchAnswer::Changes(WatchBody {
+                revision: last.version,
+                events,
+            });
+        }
+        let next = self.history.get((from.get() - oldest) as usize);
+        WatchAnswer::Wait(next.map(|change| change.at + delay))
+    }
+
+    /// Decides whether the answer to a write that took effect is lost.
+    pub(super) fn loses_answer(&mut self, faults: &StoreFaults) -> bool {
+        if self.lose_next_answers > 0 {
+            self.lose_next_answers -= 1;
+            return true;
+        }
+        let per_mille = faults.lost_answers_per_mille.get();
+        per_mille > 0 && self.random.random_range(0..1000) < per_mille
+    }
+
+    fn remember(&mut self, object: ObjectBody) {
+        self.history.push_back(Change {
+            at: Instant::now(),
+            object,
+        });
+        if self.history.len() > self.history_events {
+            self.history.pop_front();
+        }
+    }
+
+    fn position(&self, kind: &str, name: &str) -> Result<usize, usize> {
+        self.objects.binary_search_by(|object| {
+            (object.kind.as_str(), object.name.as_str()).cmp(&(kind, name))
+        })
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/store.rs
@@ -0,0 +1,378 @@
+//! Guards the client of the platform store and its stand-in against every fault of the store.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use hawthorntide_emulator::{StoreFaults, StoreHandle, StoreServer, StoreServerOptions};
+use hawthorntide_platform::{
+    MAX_VALUE_BYTES, ObjectKey, ObjectKind, ObjectStore, StoreError, StoreOptions, WriteId,
+    WriteOutcome,
+};
+use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Version};
+use serde_json::json;
+
+const OPTIONS: StoreOptions = StoreOptions {
+    deadline_ms: DurationMs(1200),
+    attempt_ms: DurationMs(300),
+    seed: 7,
+};
+
+struct Setup {
+    server: StoreServer,
+    handle: StoreHandle,
+    store: ObjectStore,
+}
+
+fn setup() -> Setup {
+    setup_with(StoreServerOptions::default())
+}
+
+fn setup_with(options: StoreServerOptions) -> Setup {
+    let address = "127.0.0.1:0".parse().unwrap();
+    let server = StoreServer::bind(address, options).unwrap();
+    let store = ObjectStore::open(server.address(), OPTIONS).unwrap();
+    let handle = server.handle();
+    Setup {
+        server,
+        handle,
+        store,
+    }
+}
+
+fn key(name: &str) -> ObjectKey {
+    ObjectKey::new(ObjectKind::Profile, name).unwrap()
+}
+
+fn accepted(outcome: WriteOutcome) -> Version {
+    let WriteOutcome::Accepted(version) = outcome else {
+        panic!("expected an accepted write, got {outcome:?}");
+    };
+    version
+}
+
+// Guards against a write on top of a version that is not the present one.
+#[gtest]
+#[tokio::test]
+async fn only_the_present_version_is_replaced() {
+    let s = setup();
+    let first = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    let second = accepted(s.store.put_if(&key("a"), &json!(2), first).await);
+    let outcome = s.store.put_if(&key("a"), &json!(3), first).await;
+    let WriteOutcome::Conflict {
+        theirs: Some(theirs),
+    } = outcome
+    else {
+        panic!("expected a conflict, got {outcome:?}");
+    };
+    expect_that!(theirs.version, eq(second));
+    expect_that!(theirs.value, eq(&json!(2)));
+    let outcome = s.store.put_if(&key("a"), &json!(3), Version::NONE).await;
+    expect_that!(outcome, pat!(WriteOutcome::Conflict { .. }));
+}
+
+// Guards against a deletion that others cannot see, and a name that can never be used again.
+#[gtest]
+#[tokio::test]
+async fn a_deletion_leaves_a_tombstone_that_a_creation_replaces() {
+    let s = setup();
+    let first = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    let deleted = accepted(s.store.delete_if(&key("a"), first).await);
+    let listing = s.store.list().await.unwrap();
+    expect_that!(listing.objects.len(), eq(1));
+    expect_that!(listing.objects[0].is_deleted, eq(true));
+    expect_that!(listing.objects[0].version, eq(deleted));
+    let again = accepted(s.store.put_if(&key("a"), &json!(2), Version::NONE).await);
+    expect_that!(again, gt(deleted));
+    let read = s.store.get(&key("a")).await.unwrap().unwrap();
+    expect_that!(read.is_deleted, eq(false));
+}
+
+// Guards against two operators both being told that their change of one version was accepted.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_operators_is_accepted() {
+    let s = setup();
+    let other = ObjectStore::open(s.server.address(), OPTIONS).unwrap();
+    let mut version = accepted(s.store.put_if(&key("a"), &json!(0), Version::NONE).await);
+    for round in 0..50 {
+        s.handle.lose_next_answers(round % 2);
+        let (mine, theirs) = (json!({ "mine": round }), json!({ "theirs": round }));
+        let (key_a, key_b) = (key("a"), key("a"));
+        let (a, b) = tokio::join!(
+            s.store.put_if(&key_a, &mine, version),
+            other.put_if(&key_b, &theirs, version)
+        );
+        let is_accepted = |outcome: &WriteOutcome| matches!(outcome, WriteOutcome::Accepted(_));
+        expect_that!(
+            [&a, &b].into_iter().filter(|o| is_accepted(o)).count(),
+            eq(1)
+        );
+        let read = s.store.get(&key("a")).await.unwrap().unwrap();
+        expect_that!(read.value == mine, eq(is_accepted(&a)));
+        version = read.version;
+    }
+}
+
+// Guards against a write that took effect being reported as failed because its answer was lost.
+#[gtest]
+#[tokio::test]
+async fn a_lost_answer_is_resolved_by_its_write_id() {
+    let s = setup();
+    s.handle.lose_next_answers(1);
+    let version = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    expect_that!(version, eq(s.handle.revision()));
+    s.handle.lose_next_answers(1);
+    let version = accepted(s.store.delete_if(&key("a"), version).await);
+    expect_that!(version, eq(s.handle.revision()));
+    expect_that!(s.handle.revision(), eq(Version(2)));
+}
+
+// Guards against a lost write being reported as a conflict after somebody else changed the object.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_write_that_was_overwritten_is_found_in_the_history() {
+    let s = setup();
+    let first = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    let id = WriteId::random();
+    let (key_a, value) = (key("a"), json!(2));
+    let mine = s.store.put_if_as(&key_a, &value, first, id.clone());
+    let second = accepted(mine.await);
+    accepted(s.store.put_if(&key("a"), &json!(3), second).await);
+    let outcome = s.store.outcome_of(&key("a"), first, id).await;
+    expect_that!(outcome, eq(&WriteOutcome::Accepted(second)));
+    let never_sent = s
+        .store
+        .outcome_of(&key("a"), first, WriteId::random())
+        .await;
+    expect_that!(never_sent, pat!(WriteOutcome::Conflict { .. }));
+}
+
+// Guards against an outcome being guessed when the history no longer shows it.
+#[gtest]
+#[tokio::test]
+async fn an_outcome_outside_the_history_stays_open() {
+    let options = StoreServerOptions {
+        history_events: 2,
+        ..StoreServerOptions::default()
+    };
+    let s = setup_with(options);
+    let first = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    let id = WriteId::random();
+    let mut version = accepted(
+        s.store
+            .put_if_as(&key("a"), &json!(2), first, id.clone())
+            .await,
+    );
+    for value in 3..8 {
+        version = accepted(s.store.put_if(&key("a"), &json!(value), version).await);
+    }
+    let outcome = s.store.outcome_of(&key("a"), first, id.clone()).await;
+    expect_that!(outcome, eq(&WriteOutcome::Open { write_id: id }));
+}
+
+// Guards against a refused change being reported as open when the store is down, and against a call
+// that outlives its deadline.
+#[gtest]
+#[tokio::test]
+async fn a_store_that_is_down_accepts_nothing() {
+    let s = setup();
+    accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    s.handle.set_faults(StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let start = Instant::now();
+    let outcome = s.store.put_if(&key("b"), &json!(1), Version::NONE).await;
+    expect_that!(outcome, eq(&WriteOutcome::NotAccepted));
+    expect_that!(
+        s.store.get(&key("a")).await,
+        err(eq(&StoreError::Unavailable))
+    );
+    expect_that!(start.elapsed(), lt(Duration::from_secs(3)));
+    s.handle.set_faults(StoreFaults::default());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let again = s.store.put_if(&key("b"), &json!(1), Version::NONE).await;
+    expect_that!(again, pat!(WriteOutcome::Accepted(_)));
+}
+
+// Guards against a guess when the store is too slow to answer, and against the write being lost to
+// the operator when it takes effect late.
+#[gtest]
+#[tokio::test]
+async fn a_slow_store_leaves_the_outcome_open_until_asked_again() {
+    let s = setup();
+    s.handle.set_faults(StoreFaults {
+        delay_ms: DurationMs(2000),
+        ..StoreFaults::default()
+    });
+    let start = Instant::now();
+    let outcome = s.store.put_if(&key("a"), &json!(1), Version::NONE).await;
+    let WriteOutcome::Open { write_id } = outcome else {
+        panic!("expected an open outcome, got {outcome:?}");
+    };
+    let longest = Duration::from(OPTIONS.deadline_ms) + Duration::from_millis(300);
+    expect_that!(start.elapsed(), lt(longest));
+    s.handle.set_faults(StoreFaults::default());
+    let a = key("a");
+    let ask = || s.store.outcome_of(&a, Version::NONE, write_id.clone());
+    let still_open = WriteOutcome::Open {
+        write_id: write_id.clone(),
+    };
+    expect_that!(ask().await, eq(&still_open));
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    expect_that!(ask().await, eq(&WriteOutcome::Accepted(Version(1))));
+}
+
+// Guards against a lost write being denied when the store goes down before it can be read back.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_lost_in_an_outage_stays_open_and_is_found_afterwards() {
+    let s = setup();
+    s.handle.lose_next_answers(1);
+    let handle = s.handle.clone();
+    let outage = tokio::spawn(async move {
+        while handle.revision() == Version::NONE {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        handle.set_faults(StoreFaults {
+            is_down: true,
+            ..StoreFaults::default()
+        });
+    });
+    let outcome = s.store.put_if(&key("a"), &json!(1), Version::NONE).await;
+    outage.await.unwrap();
+    let WriteOutcome::Open { write_id } = outcome else {
+        panic!("expected an open outcome, got {outcome:?}");
+    };
+    s.handle.set_faults(StoreFaults::default());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let asked = s.store.outcome_of(&key("a"), Version::NONE, write_id).await;
+    expect_that!(asked, eq(&WriteOutcome::Accepted(Version(1))));
+}
+
+// Guards against a wrong outcome at any mix of lost answers: what was accepted is in the store.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn random_lost_answers_never_give_a_wrong_outcome() {
+    let s = setup();
+    s.handle.set_faults(StoreFaults {
+        lost_answers_per_mille: PerMille(300),
+        ..StoreFaults::default()
+    });
+    let mut open = 0;
+    for round in 0..60 {
+        let name = format!("object-{round}");
+        let outcome = s
+            .store
+            .put_if(&key(&name), &json!(round), Version::NONE)
+            .await;
+        let read = s.store.get(&key(&name)).await.unwrap();
+        match outcome {
+            WriteOutcome::Accepted(version) => {
+                expect_that!(read.unwrap().version, eq(version));
+            }
+            WriteOutcome::Open { .. } => open += 1,
+            other => panic!("expected accepted or open, got {other:?}"),
+        }
+    }
+    expect_that!(open, lt(30));
+}
+
+// Guards against a change that no watcher hears of, and against polling while nothing changes.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_waits_and_delivers_changes_in_order() {
+    let s = setup();
+    let first = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    let idle = s.store.watch(first, DurationMs(100)).await.unwrap();
+    expect_that!(idle.objects, is_empty());
+    expect_that!(idle.revision, eq(first));
+    let other = ObjectStore::open(s.server.address(), OPTIONS).unwrap();
+    let waiting = tokio::spawn(async move { other.watch(first, DurationMs(5000)).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let second = accepted(s.store.put_if(&key("b"), &json!(2), Version::NONE).await);
+    let watched = waiting.await.unwrap().unwrap();
+    expect_that!(watched.revision, eq(second));
+    expect_that!(watched.objects[0].key, eq(&key("b")));
+    expect_that!(s.handle.counts().watch, eq(2));
+}
+
+// Guards against a watcher that continues over a gap in the history.
+#[gtest]
+#[tokio::test]
+async fn a_watch_from_outside_the_history_must_list_again() {
+    let options = StoreServerOptions {
+        history_events: 2,
+        ..StoreServerOptions::default()
+    };
+    let s = setup_with(options);
+    for name in ["a", "b", "c", "d"] {
+        accepted(s.store.put_if(&key(name), &json!(1), Version::NONE).await);
+    }
+    for from in [Version(1), Version(9)] {
+        let watched = s.store.watch(from, DurationMs(10)).await;
+        expect_that!(watched, err(eq(&StoreError::RevisionGone)));
+    }
+    let watched = s.store.watch(Version(2), DurationMs(10)).await.unwrap();
+    expect_that!(watched.objects.len(), eq(2));
+}
+
+// Guards against closed watches that hang, and against late events that are skipped.
+#[gtest]
+#[tokio::test]
+async fn closed_watches_fail_and_late_events_arrive() {
+    let s = setup();
+    s.handle.set_faults(StoreFaults {
+        are_watches_closed: true,
+        ..StoreFaults::default()
+    });
+    let closed = s.store.watch(Version::NONE, DurationMs(1000)).await;
+    expect_that!(closed, err(eq(&StoreError::Unavailable)));
+    s.handle.set_faults(StoreFaults {
+        event_delay_ms: DurationMs(300),
+        ..StoreFaults::default()
+    });
+    let version = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
+    let start = Instant::now();
+    let watched = s.store.watch(Version::NONE, DurationMs(2000)).await;
+    expect_that!(watched.unwrap().revision, eq(version));
+    expect_that!(start.elapsed(), gt(Duration::from_millis(200)));
+}
+
+// Guards against retries that keep a store over its call limit, and against a wrong count.
+#[gtest]
+#[tokio::test]
+async fn calls_over_the_limit_are_refused_counted_and_not_repeated_for_long() {
+    let s = setup();
+    s.handle.set_faults(StoreFaults {
+        call_limit: Some(RatePerSecond(0)),
+        ..StoreFaults::default()
+    });
+    let mut refused = 0;
+    for _ in 0..12 {
+        let read = s.store.get(&key("a")).await;
+        expect_that!(read, err(eq(&StoreError::Limited)));
+        refused += 1;
+    }
+    let counts = s.handle.counts();
+    expect_that!(counts.total(), eq(counts.limited));
+    // 10 retries are saved up at the start and each call earns a tenth of one.
+    expect_that!(counts.limited, ge(refused));
+    expect_that!(counts.limited, le(refused + 11));
+    let outcome = s.store.put_if(&key("a"), &json!(1), Version::NONE).await;
+    expect_that!(outcome, eq(&WriteOutcome::NotAccepted));
+}
+
+// Guards against a value over the limit of the platform being accepted or retried.
+#[gtest]
+#[tokio::test]
+async fn a_value_over_one_megabyte_is_refused() {
+    let s = setup();
+    let value = json!("x".repeat(MAX_VALUE_BYTES - 200));
+    accepted(s.store.put_if(&key("a"), &value, Version::NONE).await);
+    let value = json!("x".repeat(MAX_VALUE_BYTES));
+    let outcome = s.store.put_if(&key("b"), &value, Version::NONE).await;
+    expect_that!(outcome, eq(&WriteOutcome::NotAccepted));
+    expect_that!(s.handle.counts().put, eq(1));
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,15 @@
 //! Client of the platform's object API.
+
+mod budget;
+mod client;
+mod object;
+mod protocol;
+mod write;
+
+pub use client::{ObjectStore, StoreError, StoreOptions};
+pub use object::{Listing, MAX_VALUE_BYTES, ObjectKey, ObjectKind, StoredObject, Watched, WriteId};
+pub use protocol::{
+    ConflictBody, ListBody, ObjectBody, PutBody, REVISION_GONE_STATUS, VersionBody, WatchBody,
+    list_path, object_path, watch_path,
+};
+pub use write::WriteOutcome;
--- /dev/null
+++ b/crates/platform/src/protocol.rs
@@ -0,0 +1,123 @@
+//! Bodies and paths of the platform's object API over HTTP.
+//!
+//! `GET /v1/objects` lists all objects, `GET /v1/objects/{kind}/{name}` reads one, `PUT` on the same
+//! path with `If-Match: {version}` writes it (version 0: it must not exist), and
+//! `GET /v1/watch?from={revision}&wait_ms={wait}` waits for changes after a revision.
+
+use hawthorntide_types::{DurationMs, ParseValueError, Version};
+use serde::{Deserialize, Serialize};
+
+use crate::object::{ObjectKey, ObjectKind, StoredObject, WriteId};
+
+/// Status of a watch whose revision is older than the history that the store keeps.
+pub const REVISION_GONE_STATUS: u16 = 410;
+
+/// Object as the store returns it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ObjectBody {
+    /// Kind of the object.
+    pub kind: String,
+    /// Name of the object.
+    pub name: String,
+    /// Version of the object.
+    pub version: Version,
+    /// Value; the store does not look into it.
+    pub value: String,
+}
+
+/// All objects.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListBody {
+    /// Revision of the store.
+    pub revision: Version,
+    /// Objects by kind and name.
+    pub objects: Vec<ObjectBody>,
+}
+
+/// Changes after a revision.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WatchBody {
+    /// Revision from which the next watch continues.
+    pub revision: Version,
+    /// Changes in the order in which they were made.
+    pub events: Vec<ObjectBody>,
+}
+
+/// Value to write.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PutBody {
+    /// New value of the object.
+    pub value: String,
+}
+
+/// Version of a write that took effect.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionBody {
+    /// New version of the object.
+    pub version: Version,
+}
+
+/// Answer to a write whose condition does not hold.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConflictBody {
+    /// Object as it is; absent when it does not exist.
+    pub current: Option<ObjectBody>,
+}
+
+/// Value that the system stores: the caller's value with the write that made it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Envelope {
+    write_id: WriteId,
+    #[serde(default)]
+    deleted: bool,
+    value: serde_json::Value,
+}
+
+/// Returns the path of the list of objects.
+pub const fn list_path() -> &'static str {
+    "/v1/objects"
+}
+
+/// Returns the path of an object.
+pub fn object_path(key: &ObjectKey) -> String {
+    format!("/v1/objects/{}/{}", key.kind, key.name)
+}
+
+/// Returns the path of a watch for changes after `from`.
+pub fn watch_path(from: Version, wait: DurationMs) -> String {
+    format!("/v1/watch?from={from}&wait_ms={wait}")
+}
+
+/// Wraps `value` for the store; no value makes a tombstone.
+pub(crate) fn seal(value: Option<&serde_json::Value>, write_id: &WriteId) -> String {
+    let envelope = Envelope {
+        write_id: write_id.clone(),
+        deleted: value.is_none(),
+        value: value.cloned().unwrap_or_default(),
+    };
+    serde_json::to_string(&envelope).unwrap_or_default()
+}
+
+/// Reads an object of the store; a value without envelope is kept as it is, without a write id.
+pub(crate) fn open(body: ObjectBody) -> Result<StoredObject, ParseValueError> {
+    let kind: ObjectKind = body.kind.parse()?;
+    let key = ObjectKey::new(kind, &body.name)?;
+    let version = body.version;
+    let object = match serde_json::from_str::<Envelope>(&body.value) {
+        Ok(envelope) => StoredObject {
+            key,
+            version,
+            write_id: Some(envelope.write_id),
+            is_deleted: envelope.deleted,
+            value: envelope.value,
+        },
+        Err(_) => StoredObject {
+            key,
+            version,
+            write_id: None,
+            is_deleted: false,
+            value: serde_json::Value::String(body.value),
+        },
+    };
+    Ok(object)
+}
