Add the thin caller library, agent and balancer

Callers speak QUIC to agents through balancers that hold no state of a flow. The agent wraps and unwraps forwarded packets below quinn, grants sessions and calls the upstream over gRPC. Membership is a heartbeat to known balancers for now; admission is one semaphore over the upstream's slots.

--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,235 @@
+//! Running agent: its sockets, tasks and shared state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use displaydoc::Display;
+use hawthorntide_routing::{ConnectionIdCodec, KeyRing};
+use hawthorntide_types::{
+    DurationMs, EndpointId, FailureDomain, Incarnation, Phase, Profile, ServiceName, SlotCount,
+};
+use hawthorntide_wire::ControlCodec;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::connection_id::NamedConnectionIds;
+use crate::socket::AgentSocket;
+use crate::upstream::UpstreamClient;
+use crate::{connection, control, tls};
+
+/// Interval at which a drain looks whether flows are still open.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Certificate and private key of an agent.
+pub struct AgentTls {
+    /// Certificate chain, the agent's own first.
+    pub certificates: Vec<CertificateDer<'static>>,
+    /// Private key of the first certificate.
+    pub key: PrivateKeyDer<'static>,
+}
+
+impl std::fmt::Debug for AgentTls {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AgentTls").finish_non_exhaustive()
+    }
+}
+
+/// Resolved configuration of an agent.
+#[derive(Debug)]
+pub struct AgentOptions {
+    /// Service that the upstream serves.
+    pub service: ServiceName,
+    /// Failure domain of the VM.
+    pub failure_domain: FailureDomain,
+    /// Address for forwarded packets.
+    pub data_address: SocketAddr,
+    /// Address for control messages.
+    pub control_address: SocketAddr,
+    /// Address of the upstream.
+    pub upstream_address: SocketAddr,
+    /// Slots of the upstream.
+    pub slots: SlotCount,
+    /// Control addresses of balancers that are known at the start.
+    pub balancers: Vec<SocketAddr>,
+    /// Seals control messages.
+    pub control: ControlCodec,
+    /// Keys of connection identifiers.
+    pub keys: KeyRing,
+    /// Certificate and key towards callers.
+    pub tls: AgentTls,
+    /// Profile in force until a newer one arrives.
+    pub profile: Profile,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+}
+
+/// Failure to start an agent.
+#[derive(Debug, Display)]
+pub enum AgentError {
+    /// cannot bind {address}: {source}
+    Bind {
+        /// Address that was wanted.
+        address: SocketAddr,
+        /// Failure of the system.
+        source: std::io::Error,
+    },
+    /// certificate or key is not valid: {0}
+    Tls(String),
+}
+
+impl std::error::Error for AgentError {}
+
+/// What was still open when a drain ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DrainReport {
+    /// Connections that were still open.
+    pub open_flows: u64,
+    /// Requests that were still in progress.
+    pub requests_in_progress: u64,
+}
+
+/// State that the tasks of one agent share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) service: ServiceName,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) data_address: SocketAddr,
+    pub(crate) control_address: SocketAddr,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) slots: SlotCount,
+    pub(crate) codec: ConnectionIdCodec,
+    pub(crate) profile: Profile,
+    pub(crate) upstream: UpstreamClient,
+    pub(crate) work_slots: tokio::sync::Semaphore,
+    pub(crate) is_draining: AtomicBool,
+    pub(crate) open_flows: AtomicU64,
+    pub(crate) requests_in_progress: AtomicU64,
+    pub(crate) stop: CancellationToken,
+}
+
+impl Shared {
+    pub(crate) fn phase(&self) -> Phase {
+        if self.stop.is_cancelled() {
+            return Phase::Gone;
+        }
+        if self.is_draining.load(Ordering::Relaxed) { Phase::Draining } else { Phase::Serving }
+    }
+}
+
+/// Running agent.
+#[derive(Debug)]
+pub struct Agent {
+    shared: Arc<Shared>,
+    endpoint: quinn::Endpoint,
+    tasks: TaskTracker,
+}
+
+impl Agent {
+    /// Binds the sockets and starts the tasks of an agent.
+    pub async fn spawn(options: AgentOptions) -> Result<Self, AgentError> {
+        let data = bind(options.data_address).await?;
+        let control = bind(options.control_address).await?;
+        let data_address = local_address(&data, options.data_address)?;
+        let control_address = local_address(&control, options.control_address)?;
+        let shared = Arc::new(Shared {
+            service: options.service,
+            endpoint: EndpointId::of_address(data_address),
+            incarnation: options.incarnation,
+            data_address,
+            control_address,
+            failure_domain: options.failure_domain,
+            slots: options.slots,
+            codec: ConnectionIdCodec::new(options.keys),
+            profile: options.profile,
+            upstream: UpstreamClient::new(options.upstream_address),
+            work_slots: tokio::sync::Semaphore::new(options.slots.get() as usize),
+            is_draining: AtomicBool::new(false),
+            open_flows: AtomicU64::new(0),
+            requests_in_progress: AtomicU64::new(0),
+            stop: CancellationToken::new(),
+        });
+        let endpoint = quic_endpoint(&shared, data, options.tls)?;
+        let tasks = TaskTracker::new();
+        tasks.spawn(connection::accept(Arc::clone(&shared), endpoint.clone(), tasks.clone()));
+        let sender = options.control.sender(
+            hawthorntide_types::NodeId::of_address(control_address),
+            options.incarnation,
+        );
+        tasks.spawn(control::run(Arc::clone(&shared), control, options.balancers, sender));
+        log::info!("agent: Serving {} at {data_address}.", shared.service);
+        Ok(Self { shared, endpoint, tasks })
+    }
+
+    /// Returns the address for forwarded packets.
+    pub fn data_address(&self) -> SocketAddr {
+        self.shared.data_address
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_flows(&self) -> u64 {
+        self.shared.open_flows.load(Ordering::Relaxed)
+    }
+
+    /// Takes no new work, waits until open flows end or `limit` passes, then stops.
+    pub async fn drain(self, limit: DurationMs) -> DrainReport {
+        self.begin_drain();
+        let end = tokio::time::Instant::now() + Duration::from(limit);
+        while self.open_flows() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        let report = self.report();
+        self.stop().await;
+        report
+    }
+
+    /// Announces that no new work is taken; open flows go on.
+    pub fn begin_drain(&self) {
+        self.shared.is_draining.store(true, Ordering::Relaxed);
+        log::info!("agent: Drain began with {} open flows.", self.open_flows());
+    }
+
+    /// Closes all connections and waits for the tasks.
+    pub async fn stop(self) {
+        self.shared.stop.cancel();
+        self.endpoint.close(quinn::VarInt::from_u32(0), b"");
+        self.endpoint.wait_idle().await;
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    fn report(&self) -> DrainReport {
+        DrainReport {
+            open_flows: self.open_flows(),
+            requests_in_progress: self.shared.requests_in_progress.load(Ordering::Relaxed),
+        }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<UdpSocket, AgentError> {
+    UdpSocket::bind(address).await.map_err(|source| AgentError::Bind { address, source })
+}
+
+fn local_address(socket: &UdpSocket, address: SocketAddr) -> Result<SocketAddr, AgentError> {
+    socket.local_addr().map_err(|source| AgentError::Bind { address, source })
+}
+
+fn quic_endpoint(
+    shared: &Arc<Shared>,
+    data: UdpSocket,
+    tls: AgentTls,
+) -> Result<quinn::Endpoint, AgentError> {
+    let address = shared.data_address;
+    let server = tls::server_config(tls)?;
+    let mut config = quinn::EndpointConfig::default();
+    let ids = NamedConnectionIds::new(shared.codec.clone(), shared.endpoint, shared.incarnation);
+    config.cid_generator(move || Box::new(ids.clone()));
+    let socket = Arc::new(AgentSocket::new(data, Arc::clone(shared)));
+    let runtime = Arc::new(quinn::TokioRuntime);
+    quinn::Endpoint::new_with_abstract_socket(config, Some(server), socket, runtime)
+        .map_err(|source| AgentError::Bind { address, source })
+}
--- /dev/null
+++ b/crates/agent/src/connection.rs
@@ -0,0 +1,61 @@
+//! Connections of callers.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use hawthorntide_wire::{call, encode_frame};
+use tokio_util::task::TaskTracker;
+
+use crate::agent::Shared;
+use crate::call::serve;
+use crate::connection_id::NamedConnectionIds;
+
+/// Accepts connections until the endpoint is closed.
+pub(crate) async fn accept(shared: Arc<Shared>, endpoint: quinn::Endpoint, tasks: TaskTracker) {
+    let ids = NamedConnectionIds::new(shared.codec.clone(), shared.endpoint, shared.incarnation);
+    while let Some(incoming) = endpoint.accept().await {
+        let Ok(connecting) = incoming.accept() else {
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        let ids = ids.clone();
+        let requests = tasks.clone();
+        tasks.spawn(async move {
+            let Ok(connection) = connecting.await else {
+                return;
+            };
+            shared.open_flows.fetch_add(1, Ordering::Relaxed);
+            serve_connection(&shared, &connection, &ids, &requests).await;
+            shared.open_flows.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn serve_connection(
+    shared: &Arc<Shared>,
+    connection: &quinn::Connection,
+    ids: &NamedConnectionIds,
+    tasks: &TaskTracker,
+) {
+    if grant_session(shared, connection, ids).await.is_none() {
+        return;
+    }
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        tasks.spawn(serve(Arc::clone(shared), send, receive));
+    }
+}
+
+async fn grant_session(
+    shared: &Shared,
+    connection: &quinn::Connection,
+    ids: &NamedConnectionIds,
+) -> Option<()> {
+    let grant = call::SessionGrant {
+        session: rand::random(),
+        epoch: shared.incarnation.get(),
+        resume_connection_id: ids.issue().to_vec(),
+    };
+    let mut stream = connection.open_uni().await.ok()?;
+    stream.write_all(&encode_frame(&grant)).await.ok()?;
+    stream.finish().ok()
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,12 @@
 //! Agent process beside each upstream.
+
+mod agent;
+mod call;
+mod connection;
+mod connection_id;
+mod control;
+mod socket;
+mod tls;
+mod upstream;
+
+pub use agent::{Agent, AgentError, AgentOptions, AgentTls, DrainReport};
--- /dev/null
+++ b/crates/balancer/src/balancer.rs
@@ -0,0 +1,208 @@
+//! Running balancer: its sockets, tasks and shared state.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use displaydoc::Display;
+use hawthorntide_routing::{ConnectionIdCodec, KeyRing, RoutingTable};
+use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
+use hawthorntide_wire::ControlCodec;
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::{control, forward};
+
+/// Time without packets after which a draining balancer ends.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// Interval at which a drain looks for packets.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Way in which callers' packets reach the balancer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ingress {
+    /// The balancer binds the service addresses.
+    Socket,
+    /// A fabric sends datagrams with the forwarding header to the data address.
+    Encapsulated {
+        /// Address to which replies go.
+        fabric_address: SocketAddr,
+    },
+}
+
+/// Resolved configuration of a balancer.
+#[derive(Debug)]
+pub struct BalancerOptions {
+    /// Failure domain of the VM.
+    pub failure_domain: FailureDomain,
+    /// Region of the failure domain.
+    pub region: Region,
+    /// Address for packets of agents and of an encapsulating fabric.
+    pub data_address: SocketAddr,
+    /// Address for control messages.
+    pub control_address: SocketAddr,
+    /// Way in which callers' packets arrive.
+    pub ingress: Ingress,
+    /// Services that are known at the start.
+    pub services: Vec<Service>,
+    /// Opens and seals control messages.
+    pub control: ControlCodec,
+    /// Keys of connection identifiers.
+    pub keys: KeyRing,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+}
+
+/// Failure to start a balancer.
+#[derive(Debug, Display)]
+pub enum BalancerError {
+    /// cannot bind {address}: {source}
+    Bind {
+        /// Address that was wanted.
+        address: SocketAddr,
+        /// Failure of the system.
+        source: std::io::Error,
+    },
+}
+
+impl std::error::Error for BalancerError {}
+
+/// What a balancer did.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BalancerReport {
+    /// Packets that were forwarded to agents.
+    pub packets_forwarded: u64,
+    /// Packets that were sent to callers.
+    pub packets_replied: u64,
+    /// Packets that were dropped.
+    pub packets_dropped: u64,
+}
+
+/// State that the tasks of one balancer share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) table: RwLock<RoutingTable>,
+    pub(crate) codec: ConnectionIdCodec,
+    pub(crate) ingress: Ingress,
+    pub(crate) started: tokio::time::Instant,
+    pub(crate) packets_forwarded: AtomicU64,
+    pub(crate) packets_replied: AtomicU64,
+    pub(crate) packets_dropped: AtomicU64,
+    pub(crate) stop: CancellationToken,
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> TimeMs {
+        TimeMs(self.started.elapsed().as_millis() as u64)
+    }
+}
+
+/// Running balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    shared: Arc<Shared>,
+    tasks: TaskTracker,
+    data_address: SocketAddr,
+    control_address: SocketAddr,
+}
+
+impl Balancer {
+    /// Binds the sockets and starts the tasks of a balancer.
+    pub async fn spawn(options: BalancerOptions) -> Result<Self, BalancerError> {
+        let data = Arc::new(bind(options.data_address).await?);
+        let control = bind(options.control_address).await?;
+        let data_address = local_address(&data, options.data_address)?;
+        let control_address = local_address(&control, options.control_address)?;
+        let mut table = RoutingTable::new();
+        for service in &options.services {
+            table.set_service(service.id(), &service.addresses, service.transport);
+        }
+        let shared = Arc::new(Shared {
+            table: RwLock::new(table),
+            codec: ConnectionIdCodec::new(options.keys),
+            ingress: options.ingress,
+            started: tokio::time::Instant::now(),
+            packets_forwarded: AtomicU64::new(0),
+            packets_replied: AtomicU64::new(0),
+            packets_dropped: AtomicU64::new(0),
+            stop: CancellationToken::new(),
+        });
+        let tasks = TaskTracker::new();
+        let mut service_sockets = Vec::new();
+        if options.ingress == Ingress::Socket {
+            for address in options.services.iter().flat_map(|service| &service.addresses) {
+                service_sockets.push((*address, Arc::new(bind(*address).await?)));
+            }
+        }
+        for (address, socket) in &service_sockets {
+            let run = forward::from_callers(
+                Arc::clone(&shared),
+                *address,
+                Arc::clone(socket),
+                Arc::clone(&data),
+            );
+            tasks.spawn(run);
+        }
+        tasks.spawn(forward::from_data_socket(Arc::clone(&shared), data, service_sockets));
+        tasks.spawn(control::run(Arc::clone(&shared), control, options.control));
+        log::info!(
+            "balancer: Node {} forwards at {data_address}.",
+            NodeId::of_address(control_address)
+        );
+        Ok(Self { shared, tasks, data_address, control_address })
+    }
+
+    /// Returns the address for packets of agents and of an encapsulating fabric.
+    pub const fn data_address(&self) -> SocketAddr {
+        self.data_address
+    }
+
+    /// Returns the address for control messages.
+    pub const fn control_address(&self) -> SocketAddr {
+        self.control_address
+    }
+
+    /// Returns what the balancer did so far.
+    pub fn report(&self) -> BalancerReport {
+        BalancerReport {
+            packets_forwarded: self.shared.packets_forwarded.load(Ordering::Relaxed),
+            packets_replied: self.shared.packets_replied.load(Ordering::Relaxed),
+            packets_dropped: self.shared.packets_dropped.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Forwards until no packet came for two seconds or `limit` passes, then stops.
+    pub async fn drain(self, limit: DurationMs) -> BalancerReport {
+        let end = tokio::time::Instant::now() + Duration::from(limit);
+        let mut last = self.report();
+        let mut changed = tokio::time::Instant::now();
+        while tokio::time::Instant::now() < end && changed.elapsed() < QUIET {
+            tokio::time::sleep(DRAIN_POLL).await;
+            if self.report() != last {
+                last = self.report();
+                changed = tokio::time::Instant::now();
+            }
+        }
+        let report = self.report();
+        self.stop().await;
+        report
+    }
+
+    /// Stops at once.
+    pub async fn stop(self) {
+        self.shared.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<UdpSocket, BalancerError> {
+    UdpSocket::bind(address).await.map_err(|source| BalancerError::Bind { address, source })
+}
+
+fn local_address(socket: &UdpSocket, address: SocketAddr) -> Result<SocketAddr, BalancerError> {
+    socket.local_addr().map_err(|source| BalancerError::Bind { address, source })
+}
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,1 +1,7 @@
 //! Balancer process: packet path and control plane.
+
+mod balancer;
+mod control;
+mod forward;
+
+pub use balancer::{Balancer, BalancerError, BalancerOptions, BalancerReport, Ingress};
--- /dev/null
+++ b/crates/client/src/session.rs
@@ -0,0 +1,113 @@
+//! Session of a caller at one agent.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hawthorntide_types::{Epoch, Sequence, SessionId};
+use hawthorntide_wire::{FrameReader, call};
+
+use crate::CallError;
+
+/// Largest session grant.
+const MAX_GRANT_BYTES: usize = 256;
+
+/// What a caller needs to reach the agent of an earlier session.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Resume {
+    /// Session that was granted.
+    pub session: SessionId,
+    /// Life of the agent that granted it.
+    pub epoch: Epoch,
+    /// Next sequence that the session has not used.
+    pub next_sequence: Sequence,
+    /// Connection identifier that leads to the agent.
+    pub connection_id: Vec<u8>,
+}
+
+/// Connection to one agent with a session.
+#[derive(Debug)]
+pub struct Caller {
+    pub(crate) connection: quinn::Connection,
+    pub(crate) session: SessionId,
+    pub(crate) epoch: Epoch,
+    next_sequence: AtomicU64,
+    resume_connection_id: Vec<u8>,
+}
+
+impl Caller {
+    /// Waits for the session that the agent grants; keeps the session of `resume` instead, if any.
+    pub(crate) async fn start(
+        connection: quinn::Connection,
+        resume: Option<Resume>,
+    ) -> Result<Self, CallError> {
+        let grant = read_grant(&connection).await?;
+        if let Some(resume) = resume {
+            return Ok(Self {
+                connection,
+                session: resume.session,
+                epoch: resume.epoch,
+                next_sequence: AtomicU64::new(resume.next_sequence.get()),
+                resume_connection_id: resume.connection_id,
+            });
+        }
+        Ok(Self {
+            connection,
+            session: SessionId(grant.session),
+            epoch: Epoch(grant.epoch),
+            next_sequence: AtomicU64::new(1),
+            resume_connection_id: grant.resume_connection_id,
+        })
+    }
+
+    /// Returns what a later connection needs to go on with this session.
+    pub fn resume(&self) -> Resume {
+        Resume {
+            session: self.session,
+            epoch: self.epoch,
+            next_sequence: Sequence(self.next_sequence.load(Ordering::Relaxed)),
+            connection_id: self.resume_connection_id.clone(),
+        }
+    }
+
+    /// Takes the next sequence of the session.
+    pub fn next_sequence(&self) -> Sequence {
+        Sequence(self.next_sequence.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Returns the session.
+    pub const fn session(&self) -> SessionId {
+        self.session
+    }
+
+    /// Waits until the connection is lost.
+    pub async fn closed(&self) -> quinn::ConnectionError {
+        self.connection.closed().await
+    }
+
+    /// Returns why the connection is lost, if it is.
+    pub fn close_reason(&self) -> Option<quinn::ConnectionError> {
+        self.connection.close_reason()
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.connection.close(quinn::VarInt::from_u32(0), b"");
+    }
+}
+
+async fn read_grant(connection: &quinn::Connection) -> Result<call::SessionGrant, CallError> {
+    let mut stream = connection
+        .accept_uni()
+        .await
+        .map_err(CallError::Connection)?;
+    let mut reader = FrameReader::new(MAX_GRANT_BYTES);
+    loop {
+        if let Ok(Some(grant)) = reader.next_message() {
+            return Ok(grant);
+        }
+        let chunk = stream.read_chunk(MAX_GRANT_BYTES, true).await;
+        let Ok(Some(chunk)) = chunk else {
+            return Err(CallError::NoSession);
+        };
+        reader.push(&chunk.bytes);
+    }
+}
--- /dev/null
+++ b/crates/client/src/socket.rs
@@ -0,0 +1,146 @@
+//! Local UDP socket from which callers open connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::{ClientConfig, Endpoint, EndpointConfig, TokioRuntime, TransportConfig, VarInt};
+use quinn_proto::ConnectionId;
+use rustls::pki_types::CertificateDer;
+
+use crate::session::{Caller, Resume};
+use crate::{CallError, tls};
+
+/// Interval of keepalives; several must be lost before a flow counts as silent.
+const KEEP_ALIVE: Duration = Duration::from_millis(750);
+
+/// Silence after which the socket moves to a new port.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Silence after which a connection is given up.
+const IDLE_TIMEOUT_MS: u32 = 30_000;
+
+/// Leaves room for the forwarding header within an Ethernet frame.
+const MAX_QUIC_DATAGRAM_BYTES: u16 = 1400;
+
+/// Options of a [`CallerSocket`].
+#[derive(Clone, Debug)]
+pub struct CallerOptions {
+    /// Local address; port 0 lets the system choose.
+    pub local_address: SocketAddr,
+    /// Certificates of the authority that signs the agents' certificates.
+    pub authority: Vec<CertificateDer<'static>>,
+}
+
+/// Local UDP socket; its connections share one port and move to a new one together.
+#[derive(Clone, Debug)]
+pub struct CallerSocket {
+    endpoint: Endpoint,
+    config: ClientConfig,
+    local_address: SocketAddr,
+}
+
+impl CallerSocket {
+    /// Binds the local socket.
+    pub fn bind(options: CallerOptions) -> Result<Self, CallError> {
+        let crypto = tls::client_crypto(&options.authority)?;
+        let mut config = ClientConfig::new(crypto);
+        config.transport_config(Arc::new(transport()));
+        let socket = std::net::UdpSocket::bind(options.local_address).map_err(CallError::Bind)?;
+        let runtime = Arc::new(TokioRuntime);
+        let endpoint = Endpoint::new(EndpointConfig::default(), None, socket, runtime)
+            .map_err(CallError::Bind)?;
+        Ok(Self {
+            endpoint,
+            config,
+            local_address: options.local_address,
+        })
+    }
+
+    /// Opens a connection to `service` at `address` and waits for its session.
+    ///
+    /// With `resume` the connection goes to the agent that granted that session.
+    pub async fn connect(
+        &self,
+        service: &str,
+        address: SocketAddr,
+        resume: Option<Resume>,
+    ) -> Result<Caller, CallError> {
+        let mut config = self.config.clone();
+        if let Some(resume) = &resume {
+            let connection_id = ConnectionId::new(&resume.connection_id);
+            config.initial_dst_cid_provider(Arc::new(move || connection_id));
+        }
+        let connect_error = |reason: String| CallError::Connect {
+            service: service.to_owned(),
+            reason,
+        };
+        let connecting = self
+            .endpoint
+            .connect_with(config, address, service)
+            .map_err(|error| connect_error(error.to_string()))?;
+        let connection = connecting
+            .await
+            .map_err(|error| connect_error(error.to_string()))?;
+        let caller = Caller::start(connection.clone(), resume).await?;
+        tokio::spawn(self.clone().watch(connection));
+        Ok(caller)
+    }
+
+    /// Moves all connections of this socket to a new local port.
+    pub fn rebind(&self) -> Result<(), CallError> {
+        let address = SocketAddr::new(self.local_address.ip(), 0);
+        let socket = std::net::UdpSocket::bind(address).map_err(CallError::Bind)?;
+        self.endpoint.rebind(socket).map_err(CallError::Bind)
+    }
+
+    /// Returns the address that callers currently send from.
+    pub fn local_address(&self) -> Result<SocketAddr, CallError> {
+        self.endpoint.local_addr().map_err(CallError::Bind)
+    }
+
+    /// Closes all connections and waits until the peers are told.
+    pub async fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"");
+        self.endpoint.wait_idle().await;
+    }
+
+    /// Rebinds when `connection` receives nothing although keepalives are sent.
+    async fn watch(self, connection: quinn::Connection) {
+        let mut received = connection.stats().udp_rx.datagrams;
+        let mut last_heard = tokio::time::Instant::now();
+        loop {
+            tokio::select! {
+                _ = connection.closed() => return,
+                () = tokio::time::sleep(KEEP_ALIVE) => {}
+            }
+            let now_received = connection.stats().udp_rx.datagrams;
+            if now_received != received {
+                received = now_received;
+                last_heard = tokio::time::Instant::now();
+                continue;
+            }
+            if last_heard.elapsed() < SILENCE_LIMIT {
+                continue;
+            }
+            log::info!(
+                "caller: No packet for {} ms, moving to a new port.",
+                SILENCE_LIMIT.as_millis()
+            );
+            if let Err(error) = self.rebind() {
+                log::warn!("caller: Cannot move to a new port: {error}.");
+            }
+            last_heard = tokio::time::Instant::now();
+        }
+    }
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
+    let mut discovery = quinn::MtuDiscoveryConfig::default();
+    discovery.upper_bound(MAX_QUIC_DATAGRAM_BYTES);
+    transport.mtu_discovery_config(Some(discovery));
+    transport
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between the processes of the system and their codecs.
 
+pub mod answer_checksum;
 mod envelope;
 mod forward;
 mod frame;
