--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -117,7 +117,11 @@
         if self.stop.is_cancelled() {
             return Phase::Gone;
         }
-        if self.is_draining.load(Ordering::Relaxed) { Phase::Draining } else { Phase::Serving }
+        if self.is_draining.load(Ordering::Relaxed) {
+            Phase::Draining
+        } else {
+            Phase::Serving
+        }
     }
 }
 
@@ -155,14 +159,27 @@
         });
         let endpoint = quic_endpoint(&shared, data, options.tls)?;
         let tasks = TaskTracker::new();
-        tasks.spawn(connection::accept(Arc::clone(&shared), endpoint.clone(), tasks.clone()));
+        tasks.spawn(connection::accept(
+            Arc::clone(&shared),
+            endpoint.clone(),
+            tasks.clone(),
+        ));
         let sender = options.control.sender(
             hawthorntide_types::NodeId::of_address(control_address),
             options.incarnation,
         );
-        tasks.spawn(control::run(Arc::clone(&shared), control, options.balancers, sender));
+        tasks.spawn(control::run(
+            Arc::clone(&shared),
+            control,
+            options.balancers,
+            sender,
+        ));
         log::info!("agent: Serving {} at {data_address}.", shared.service);
-        Ok(Self { shared, endpoint, tasks })
+        Ok(Self {
+            shared,
+            endpoint,
+            tasks,
+        })
     }
 
     /// Returns the address for forwarded packets.
@@ -211,11 +228,15 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<UdpSocket, AgentError> {
-    UdpSocket::bind(address).await.map_err(|source| AgentError::Bind { address, source })
+    UdpSocket::bind(address)
+        .await
+        .map_err(|source| AgentError::Bind { address, source })
 }
 
 fn local_address(socket: &UdpSocket, address: SocketAddr) -> Result<SocketAddr, AgentError> {
-    socket.local_addr().map_err(|source| AgentError::Bind { address, source })
+    socket
+        .local_addr()
+        .map_err(|source| AgentError::Bind { address, source })
 }
 
 fn quic_endpoint(
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -32,7 +32,11 @@
     stream: quinn::SendStream,
     mut receive: quinn::RecvStream,
 ) {
-    let mut writer = AnswerWriter { stream, total_bytes: 0, checksum: Checksum::default() };
+    let mut writer = AnswerWriter {
+        stream,
+        total_bytes: 0,
+        checksum: Checksum::default(),
+    };
     let Ok(Ok(request)) = timeout(REQUEST_TIMEOUT, read_request(&mut receive)).await else {
         writer.end(ResultCode::NotRunBadRequest).await;
         return;
@@ -69,7 +73,11 @@
         return ResultCode::NotRunNoProfile;
     };
     let longest = work.calm.deadline_ms.get();
-    let deadline_ms = if request.deadline_ms == 0 { longest } else { request.deadline_ms.min(longest) };
+    let deadline_ms = if request.deadline_ms == 0 {
+        longest
+    } else {
+        request.deadline_ms.min(longest)
+    };
     let deadline = Duration::from_millis(deadline_ms);
     if kind == WorkKind::Stream {
         return run_upstream(shared, request, deadline, writer).await;
@@ -113,7 +121,10 @@
 
 impl AnswerWriter {
     async fn chunk(&mut self, data: Vec<u8>) -> bool {
-        let chunk = Chunk { offset_bytes: self.total_bytes, data };
+        let chunk = Chunk {
+            offset_bytes: self.total_bytes,
+            data,
+        };
         self.total_bytes += chunk.data.len() as u64;
         self.checksum.update(&chunk.data);
         self.send(Body::Chunk(chunk)).await
@@ -131,6 +142,9 @@
     }
 
     async fn send(&mut self, body: Body) -> bool {
-        self.stream.write_all(&encode_frame(&CallFrame { body: Some(body) })).await.is_ok()
+        self.stream
+            .write_all(&encode_frame(&CallFrame { body: Some(body) }))
+            .await
+            .is_ok()
     }
 }
--- a/crates/agent/src/connection_id.rs
+++ b/crates/agent/src/connection_id.rs
@@ -24,7 +24,12 @@
         incarnation: Incarnation,
     ) -> Self {
         let next_nonce = Arc::new(AtomicU64::new(rand::random()));
-        Self { codec, endpoint, incarnation, next_nonce }
+        Self {
+            codec,
+            endpoint,
+            incarnation,
+            next_nonce,
+        }
     }
 
     /// Returns a new identifier of this endpoint.
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -57,8 +57,14 @@
     revision: u32,
 ) {
     let endpoint = Some(record(shared, revision));
-    let heartbeat = Heartbeat { endpoint, configuration_hash: 0, peers_hash: 0 };
-    let message = ControlMessage { body: Some(Body::Heartbeat(heartbeat)) };
+    let heartbeat = Heartbeat {
+        endpoint,
+        configuration_hash: 0,
+        peers_hash: 0,
+    };
+    let message = ControlMessage {
+        body: Some(Body::Heartbeat(heartbeat)),
+    };
     for balancer in balancers {
         let Ok(datagram) = sender.seal(&message) else {
             continue;
@@ -92,7 +98,10 @@
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
     };
-    Address { ip, port: address.port().into() }
+    Address {
+        ip,
+        port: address.port().into(),
+    }
 }
 
 fn wire_phase(phase: Phase) -> control::Phase {
--- a/crates/agent/src/socket.rs
+++ b/crates/agent/src/socket.rs
@@ -47,7 +47,12 @@
 impl AgentSocket {
     pub(crate) fn new(io: UdpSocket, shared: Arc<Shared>) -> Self {
         let service = ServiceId::of_name(&shared.service);
-        Self { io: Arc::new(io), service, paths: Mutex::default(), shared }
+        Self {
+            io: Arc::new(io),
+            service,
+            paths: Mutex::default(),
+            shared,
+        }
     }
 
     /// Returns how quinn is to see a forwarded packet, or `None` when it is dropped.
@@ -76,17 +81,24 @@
             caller: transmit.destination,
             service_address: paths.service_address(transmit.src_ip)?,
         };
-        Some((header, paths.reply_path(transmit.destination, Instant::now())?))
+        Some((
+            header,
+            paths.reply_path(transmit.destination, Instant::now())?,
+        ))
     }
 }
 
 impl Paths {
     fn heard(&mut self, balancer: SocketAddr, now: Instant) {
-        match self.balancers.binary_search_by_key(&balancer, |path| path.0) {
+        match self
+            .balancers
+            .binary_search_by_key(&balancer, |path| path.0)
+        {
             Ok(index) => self.balancers[index].1 = now,
             Err(index) => {
                 if self.balancers.len() >= MAX_REPLY_PATHS {
-                    self.balancers.retain(|path| now - path.1 < REPLY_PATH_FRESH);
+                    self.balancers
+                        .retain(|path| now - path.1 < REPLY_PATH_FRESH);
                 }
                 if self.balancers.len() < MAX_REPLY_PATHS {
                     let index = index.min(self.balancers.len());
@@ -102,15 +114,26 @@
         let is_fresh = |path: &&(SocketAddr, Instant)| now - path.1 < REPLY_PATH_FRESH;
         let fresh = self.balancers.iter().filter(is_fresh).count();
         if fresh == 0 {
-            return self.balancers.iter().max_by_key(|path| path.1).map(|path| path.0);
+            return self
+                .balancers
+                .iter()
+                .max_by_key(|path| path.1)
+                .map(|path| path.0);
         }
         let index = usize::from(caller.port()) % fresh;
-        self.balancers.iter().filter(is_fresh).nth(index).map(|path| path.0)
+        self.balancers
+            .iter()
+            .filter(is_fresh)
+            .nth(index)
+            .map(|path| path.0)
     }
 
     /// quinn returns the local address of a packet with its replies, so it carries the index.
     fn index_of(&mut self, address: SocketAddr) -> IpAddr {
-        let known = self.service_addresses.iter().position(|known| *known == address);
+        let known = self
+            .service_addresses
+            .iter()
+            .position(|known| *known == address);
         let index = known.unwrap_or_else(|| {
             if self.service_addresses.len() >= MAX_SERVICE_ADDRESSES {
                 return 0;
@@ -139,7 +162,10 @@
         let Some((header, path)) = self.reply_header(transmit) else {
             return Ok(());
         };
-        let segment = transmit.segment_size.unwrap_or(transmit.contents.len()).max(1);
+        let segment = transmit
+            .segment_size
+            .unwrap_or(transmit.contents.len())
+            .max(1);
         for packet in transmit.contents.chunks(segment) {
             let mut buffer = [0; MAX_DATAGRAM_BYTES];
             let length = HEADER_BYTES + packet.len();
--- a/crates/agent/src/tls.rs
+++ b/crates/agent/src/tls.rs
@@ -29,8 +29,8 @@
         .with_single_cert(tls.certificates, tls.key)
         .map_err(tls_error)?;
     config.alpn_protocols = vec![ALPN.to_vec()];
-    let crypto = QuicServerConfig::try_from(config)
-        .map_err(|error| AgentError::Tls(error.to_string()))?;
+    let crypto =
+        QuicServerConfig::try_from(config).map_err(|error| AgentError::Tls(error.to_string()))?;
     let mut server = ServerConfig::with_crypto(Arc::new(crypto));
     server.transport_config(Arc::new(transport()));
     Ok(server)
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -34,7 +34,9 @@
             .expect("an IP address and port form a valid URI")
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true);
-        Self { client: GrpcClient::new(endpoint.connect_lazy()) }
+        Self {
+            client: GrpcClient::new(endpoint.connect_lazy()),
+        }
     }
 
     /// Hands a request over.
@@ -43,7 +45,10 @@
         request: &CallRequest,
         deadline: Duration,
     ) -> Result<Run, ResultCode> {
-        let request_id = format!("{:x}-{}-{}", request.session, request.epoch, request.sequence);
+        let request_id = format!(
+            "{:x}-{}-{}",
+            request.session, request.epoch, request.sequence
+        );
         let mut message = Request::new(RunRequest {
             request_id,
             kind: request.kind,
@@ -51,7 +56,9 @@
         });
         message.set_timeout(deadline);
         match self.client.clone().run(message).await {
-            Ok(response) => Ok(Run { chunks: response.into_inner() }),
+            Ok(response) => Ok(Run {
+                chunks: response.into_inner(),
+            }),
             Err(status) => Err(code_of(&status)),
         }
     }
@@ -68,7 +75,10 @@
 }
 
 fn code_of(status: &Status) -> ResultCode {
-    let was_not_run = status.metadata().get(RAN_TRAILER).is_some_and(|value| value == "no");
+    let was_not_run = status
+        .metadata()
+        .get(RAN_TRAILER)
+        .is_some_and(|value| value == "no");
     if was_not_run {
         return ResultCode::NotRunShed;
     }
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -133,7 +133,11 @@
         let tasks = TaskTracker::new();
         let mut service_sockets = Vec::new();
         if options.ingress == Ingress::Socket {
-            for address in options.services.iter().flat_map(|service| &service.addresses) {
+            for address in options
+                .services
+                .iter()
+                .flat_map(|service| &service.addresses)
+            {
                 service_sockets.push((*address, Arc::new(bind(*address).await?)));
             }
         }
@@ -146,13 +150,22 @@
             );
             tasks.spawn(run);
         }
-        tasks.spawn(forward::from_data_socket(Arc::clone(&shared), data, service_sockets));
+        tasks.spawn(forward::from_data_socket(
+            Arc::clone(&shared),
+            data,
+            service_sockets,
+        ));
         tasks.spawn(control::run(Arc::clone(&shared), control, options.control));
         log::info!(
             "balancer: Node {} forwards at {data_address}.",
             NodeId::of_address(control_address)
         );
-        Ok(Self { shared, tasks, data_address, control_address })
+        Ok(Self {
+            shared,
+            tasks,
+            data_address,
+            control_address,
+        })
     }
 
     /// Returns the address for packets of agents and of an encapsulating fabric.
@@ -200,9 +213,13 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<UdpSocket, BalancerError> {
-    UdpSocket::bind(address).await.map_err(|source| BalancerError::Bind { address, source })
+    UdpSocket::bind(address)
+        .await
+        .map_err(|source| BalancerError::Bind { address, source })
 }
 
 fn local_address(socket: &UdpSocket, address: SocketAddr) -> Result<SocketAddr, BalancerError> {
-    socket.local_addr().map_err(|source| BalancerError::Bind { address, source })
+    socket
+        .local_addr()
+        .map_err(|source| BalancerError::Bind { address, source })
 }
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -61,7 +61,14 @@
         };
         match header.kind {
             ForwardKind::Ingress if is_fabric(&shared, from) => {
-                forward(&shared, header.caller, header.service_address, datagram, &data).await;
+                forward(
+                    &shared,
+                    header.caller,
+                    header.service_address,
+                    datagram,
+                    &data,
+                )
+                .await;
             }
             ForwardKind::Reply => {
                 reply(&shared, from, header, datagram, &data, &sockets).await;
@@ -87,7 +94,13 @@
         Ok(decision) => decision,
         Err(code) => return drop_packet(shared, code),
     };
-    let header = ForwardHeader { kind, hops: 0, service, caller, service_address };
+    let header = ForwardHeader {
+        kind,
+        hops: 0,
+        service,
+        caller,
+        service_address,
+    };
     header.write(datagram);
     if data.send_to(datagram, to).await.is_ok() {
         shared.packets_forwarded.fetch_add(1, Ordering::Relaxed);
@@ -133,7 +146,10 @@
             let Ok(index) = index else {
                 return drop_packet(shared, ResultCode::SourceUnknown);
             };
-            sockets[index].1.send_to(&datagram[HEADER_BYTES..], header.caller).await
+            sockets[index]
+                .1
+                .send_to(&datagram[HEADER_BYTES..], header.caller)
+                .await
         }
     };
     if sent.is_ok() {
