Add the emulated upstream and fabric

Trials need the network and the servers that surround the system, with faults and with records that do not come from the system itself.

Tests: cargo test -p hawthorntide-emulator, 11 passed.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,1 +1,11 @@
 //! Stand-ins for the platform, the fabric, upstreams and callers.
+
+mod fabric;
+mod link;
+mod upstream;
+mod work;
+
+pub use fabric::{BalancerLink, Fabric, FabricCounts, FabricOptions, ServiceSocket};
+pub use link::UpstreamFault;
+pub use upstream::{Reports, RunRecord, Upstream, UpstreamCounts, UpstreamOptions};
+pub use work::{STREAM_MESSAGE_BYTES, WorkOrder};
