--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! Layer-4 load balancer: every process between callers and upstreams in one binary.
 
 mod cli;
-mod trial;
+mod codes;
 
 use std::process::ExitCode;
 
@@ -15,18 +15,11 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    match run(cli) {
-        Ok(code) => ExitCode::from(code.number()),
-        Err(error) => {
-            eprintln!("hawthorntide: {error:#}");
-            ExitCode::from(ResultCode::Failure.number())
-        }
-    }
+    ExitCode::from(run(cli).number())
 }
 
-fn run(cli: Cli) -> anyhow::Result<ResultCode> {
-    let runtime = tokio::runtime::Runtime::new()?;
+fn run(cli: Cli) -> ResultCode {
     match cli.command {
-        Command::Trial(arguments) => runtime.block_on(trial::run(arguments)),
+        Command::Codes => codes::run(),
     }
 }
