Add the time line

Events of several processes must be compared in causal order. A hybrid logical clock stamps them, a bounded ring per thread group keeps them, and a page shows one lane per process.

--- a/crates/timeline/src/lib.rs
+++ b/crates/timeline/src/lib.rs
@@ -1,1 +1,15 @@
 //! Time line of events over all processes.
+
+mod clock;
+mod event;
+mod filter;
+mod lines;
+mod page;
+mod ring;
+
+pub use clock::{HybridClock, HybridTime};
+pub use event::{Event, EventKind, FlowKey, Part, ProcessName, RequestKey, TimedEvent};
+pub use filter::Filter;
+pub use lines::{LineError, read_lines, write_lines};
+pub use page::render_page;
+pub use ring::{Timeline, merge};
