Check settings files, key files, profiles and services

A process must not start with settings that it understands in part. Every field is read through one reader that collects all problems, and each names file, line, field and accepted range; unknown and repeated fields are problems.

--- /dev/null
+++ b/crates/configuration/src/settings.rs
@@ -0,0 +1,209 @@
+//! Settings files of balancers and agents.
+
+use std::path::Path;
+use std::str::FromStr;
+
+use hawthorntide_types::ParseValueError;
+use serde::{Deserialize, Serialize};
+
+use crate::agent_settings::AgentSettings;
+use crate::balancer_settings::BalancerSettings;
+use crate::document::Document;
+use crate::problem::SettingsProblem;
+use crate::section::{Findings, Section};
+
+/// Log lines per second that packets may cause, unless the settings say otherwise.
+const DEFAULT_LINES_PER_SECOND: u32 = 20;
+/// Most log lines per second that packets may cause.
+const MAX_LINES_PER_SECOND: u32 = 10_000;
+
+/// Settings of one process.
+#[derive(Clone, Debug)]
+pub enum Settings {
+    /// Settings of a balancer.
+    Balancer(Box<BalancerSettings>),
+    /// Settings of an agent.
+    Agent(Box<AgentSettings>),
+}
+
+/// Lowest importance of the lines that are logged.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Only failures that need an operator.
+    Error,
+    /// Also conditions that may become failures.
+    Warn,
+    /// Also changes of state.
+    #[default]
+    Info,
+    /// Also each decision of the control plane.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogFormat {
+    /// One line of text per entry.
+    #[default]
+    Text,
+    /// One JSON object per entry.
+    Json,
+}
+
+/// Settings of the log, which goes to standard error.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LogSettings {
+    /// Level at start; it can be changed at run time.
+    pub level: LogLevel,
+    /// Form of the entries.
+    pub format: LogFormat,
+    /// Lines per second and part that packets may cause.
+    pub lines_per_second: u32,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LogLevel::default(),
+            format: LogFormat::default(),
+            lines_per_second: DEFAULT_LINES_PER_SECOND,
+        }
+    }
+}
+
+impl LogLevel {
+    /// Returns the name of the level.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
+}
+
+impl std::fmt::Display for LogLevel {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.pad(self.name())
+    }
+}
+
+impl FromStr for LogLevel {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "error" => Ok(Self::Error),
+            "warn" => Ok(Self::Warn),
+            "info" => Ok(Self::Info),
+            "debug" => Ok(Self::Debug),
+            "trace" => Ok(Self::Trace),
+            _ => Err(problem(text, "log level (error, warn, info, debug, trace)")),
+        }
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(problem(text, "log format (text, json)")),
+        }
+    }
+}
+
+/// Role that a settings file is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Role {
+    Balancer,
+    Agent,
+}
+
+impl FromStr for Role {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "balancer" => Ok(Self::Balancer),
+            "agent" => Ok(Self::Agent),
+            _ => Err(problem(text, "role (balancer, agent)")),
+        }
+    }
+}
+
+/// Checks the text of a settings file; key files are named relative to `file` and not looked at.
+pub fn check(text: &str, file: &str) -> Result<Settings, Vec<SettingsProblem>> {
+    let document = Document::parse(file, text).map_err(|problem| vec![problem])?;
+    let findings = Findings::new(&document);
+    let settings = read(&findings, Path::new(file));
+    let problems = findings.into_problems();
+    match settings {
+        Some(settings) if problems.is_empty() => Ok(settings),
+        _ => Err(problems),
+    }
+}
+
+/// Reads and checks a settings file with the key files that it names.
+pub fn open(path: &Path) -> Result<Settings, Vec<SettingsProblem>> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| vec![SettingsProblem::unreadable(&file, 1, error)])?;
+    let settings = check(&text, &file)?;
+    let mut problems = Vec::new();
+    match &settings {
+        Settings::Balancer(balancer) => problems.extend(balancer.key_files.load().err()),
+        Settings::Agent(agent) => {
+            problems.extend(agent.key_files.load().err());
+            problems.extend(agent.tls_files.load().err());
+        }
+    }
+    if problems.is_empty() {
+        return Ok(settings);
+    }
+    Err(problems.into_iter().flatten().collect())
+}
+
+fn read<'d>(findings: &'d Findings<'d>, file: &Path) -> Option<Settings> {
+    let root = findings.root();
+    let role = root.text("role", "\"balancer\" or \"agent\"")?;
+    let settings = match role {
+        Role::Balancer => {
+            BalancerSettings::read(&root, file).map(|it| Settings::Balancer(Box::new(it)))
+        }
+        Role::Agent => AgentSettings::read(&root, file).map(|it| Settings::Agent(Box::new(it))),
+    };
+    root.finish();
+    settings
+}
+
+/// Reads the settings of the log.
+pub(crate) fn read_log(root: &Section<'_>) -> LogSettings {
+    let defaults = LogSettings::default();
+    let Some(section) = root.optional_section("log") else {
+        return defaults;
+    };
+    let level = section.optional_text("level", "error, warn, info, debug or trace is accepted");
+    let format = section.optional_text("format", "text or json is accepted");
+    let lines = section.optional_number("lines_per_second", 1..=MAX_LINES_PER_SECOND);
+    section.finish();
+    LogSettings {
+        level: level.unwrap_or(defaults.level),
+        format: format.unwrap_or(defaults.format),
+        lines_per_second: lines.unwrap_or(defaults.lines_per_second),
+    }
+}
+
+fn problem(text: &str, expected: &str) -> ParseValueError {
+    ParseValueError {
+        text: text.chars().take(80).collect(),
+        expected: expected.to_owned(),
+    }
+}
