Name the type in a comparison of durations

A dependency that came in with another part implements the comparison for a type of its own, so that the conversion became ambiguous and the build failed.

--- a/crates/emulator/src/upstream.rs
+++ b/crates/emulator/src/upstream.rs
@@ -289,7 +289,7 @@
     }
 
     fn is_cold(&self) -> bool {
-        self.started.elapsed() < self.options.cold_start_ms.into()
+        self.started.elapsed() < Duration::from(self.options.cold_start_ms)
     }
 
     /// Takes a slot, or refuses the work before it is started.
