--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -37,17 +37,26 @@
         self.last_observed = Some(now);
     }
 
+    /// Returns the time in which `milli_slots` thousandths of a slot serve `requests`, or zero
+    /// when nothing was observed.
+    pub(crate) fn time_for_ms(&self, now: TimeMs, requests: u64, milli_slots: u64) -> DurationMs {
+        let one = self.aged(now, self.mean);
+        let slot_time = one.saturating_mul(requests).saturating_mul(1000);
+        DurationMs(slot_time / milli_slots.max(1) / FRACTION as u64)
+    }
+
     /// Returns a service time that most requests stay under, or zero when nothing was observed.
     pub(crate) fn likely_ms(&self, now: TimeMs) -> DurationMs {
-        self.aged(now, self.mean + self.deviation)
+        let likely = self.aged(now, self.mean + self.deviation);
+        DurationMs(likely.div_ceil(FRACTION as u64))
     }
 
-    fn aged(&self, now: TimeMs, value: i64) -> DurationMs {
+    /// Returns what is left of `value` since the last observation.
+    fn aged(&self, now: TimeMs, value: i64) -> u64 {
         let Some(last_observed) = self.last_observed else {
-            return DurationMs(0);
+            return 0;
         };
         let halvings = (now.since(last_observed).get() / HALF_LIFE_MS).min(MAX_HALVINGS);
-        let rounded_up = (value >> halvings) + FRACTION - 1;
-        DurationMs((rounded_up / FRACTION).max(0) as u64)
+        (value >> halvings).max(0) as u64
     }
 }
--- a/crates/admission/src/machine.rs
+++ b/crates/admission/src/machine.rs
@@ -341,7 +341,30 @@
             return Some(code);
         }
         let is_full = state.queue.len() >= MAX_WAITING_PER_KIND;
-        is_full.then_some(ResultCode::NotRunLimited)
+        // A request that would only wait for its refusal is refused at once.
+        let is_hopeless = self.expected_wait_ms(now, kind) > treatment.queue_wait_ms;
+        (is_full || is_hopeless).then_some(ResultCode::NotRunLimited)
+    }
+
+    /// Returns how long the queue of `kind` takes with the slots that it surely gets.
+    fn expected_wait_ms(&self, now: TimeMs, kind: WorkKind) -> DurationMs {
+        let state = &self.kinds[kind as usize];
+        let slots = u64::from(self.window.size());
+        let is_other = |other: &WorkKind| *other != kind && takes_slot(*other);
+        let others = || WorkKind::ALL.into_iter().filter(is_other);
+        let share = self.use_of(kind).share_per_mille;
+        let own_milli = slots * u64::from(share.get());
+        let is_contended = others().any(|other| !self.kinds[other as usize].queue.is_empty());
+        let milli_slots = if is_contended {
+            own_milli
+        } else {
+            let taken: u64 = others()
+                .map(|other| u64::from(self.kinds[other as usize].in_flight))
+                .sum();
+            own_milli.max(slots.saturating_sub(taken) * 1000)
+        };
+        let requests = state.queue.len() as u64;
+        state.service.time_for_ms(now, requests, milli_slots)
     }
 
     fn start(
@@ -380,11 +403,13 @@
 
     fn shed(&mut self, now: TimeMs, id: RequestId, out: &mut Vec<AdmissionAction>) {
         let cancelled = self.is_cancelled(id);
-        if self.release(id).is_none() {
+        let Some((kind, _)) = self.release(id) else {
             return;
-        }
+        };
         self.shed_count += 1;
-        self.window.shed(now);
+        if takes_slot(kind) {
+            self.window.shed(now, self.in_flight());
+        }
         // The result of a cancelled request was given with its cancellation.
         if !cancelled {
             out.push(AdmissionAction::Refuse {
--- a/crates/admission/src/window.rs
+++ b/crates/admission/src/window.rs
@@ -1,6 +1,6 @@
 //! Number of slots in use, adapted to what the upstream sheds.
 
-use hawthorntide_types::{SlotCount, TimeMs};
+use hawthorntide_types::{DurationMs, SlotCount, TimeMs};
 
 /// Time in which the window grows by one slot while nothing is shed.
 const GROW_MS: u64 = 500;
@@ -48,28 +48,32 @@
         self.slots = slots;
     }
 
-    /// Lets the window grow with the time that passed.
+    /// Lets the window grow with the time that passed outside of pauses.
     pub(crate) fn advance(&mut self, now: TimeMs) {
-        let passed_ms = now.since(self.updated).get();
+        let since = self.updated.max(self.paused_until);
+        let passed_ms = now.since(since).get();
         self.updated = self.updated.max(now);
         let whole = u64::from(self.slots.get()) * MILLI;
         self.milli_slots = (self.milli_slots + passed_ms * MILLI / GROW_MS).min(whole);
     }
 
-    /// Takes in that the upstream shed a request.
-    pub(crate) fn shed(&mut self, now: TimeMs) {
+    /// Takes in that the upstream shed a request while it ran `others`.
+    pub(crate) fn shed(&mut self, now: TimeMs, others: u32) {
         let is_same_overload = self
             .last_decrease
             .is_some_and(|last| now.since(last).get() < DECREASE_INTERVAL_MS);
-        if is_same_overload && self.milli_slots > MILLI {
-            return;
+        if !is_same_overload {
+            self.last_decrease = Some(now);
+            self.milli_slots /= 2;
         }
-        self.last_decrease = Some(now);
-        if self.milli_slots <= MILLI {
+        // The upstream has just shown that it takes no more than the others. A larger window would
+        // start the next request at once, only for it to be shed as well.
+        let taken = u64::from(others) * MILLI;
+        self.milli_slots = self.milli_slots.min(taken).max(MILLI);
+        if others == 0 {
             self.pause_ms = (self.pause_ms * 2).clamp(FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
-            self.paused_until = now + hawthorntide_types::DurationMs(self.pause_ms);
+            self.paused_until = now + DurationMs(self.pause_ms);
         }
-        self.milli_slots = (self.milli_slots / 2).max(MILLI);
     }
 
     /// Takes in that the upstream answered.
