--- a/crates/admission/examples/ledger_memory.rs
+++ b/crates/admission/examples/ledger_memory.rs
@@ -75,15 +75,15 @@
 }
 
 fn table(requests: u64) -> HashMap<(SessionId, Sequence), Entry> {
-    let mut entries = HashMap::new();
+    let mut known = HashMap::new();
     for session in (0..SESSIONS).map(SessionId) {
         for sequence in (1..=requests).map(Sequence) {
             let entry = Entry {
                 code: ResultCode::Ok,
                 expires: TimeMs(sequence.get()),
             };
-            entries.insert((session, sequence), entry);
+            known.insert((session, sequence), entry);
         }
     }
-    entries
+    known
 }
