--- a/crates/admission/examples/ledger_memory.rs
+++ b/crates/admission/examples/ledger_memory.rs
@@ -42,8 +42,8 @@
 /// Returns what `build` returned and by how much the resident memory grew.
 fn measure<T>(build: impl FnOnce() -> T) -> (T, u64) {
     let before = resident_bytes();
-    let built = build();
-    (built, resident_bytes().saturating_sub(before))
+    let result = build();
+    (result, resident_bytes().saturating_sub(before))
 }
 
 fn resident_bytes() -> u64 {
