--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -166,6 +166,11 @@
 }
 
 impl ReplayWindow {
+    /// Returns the highest incarnation that was accepted.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Records a number; fails when it was seen before, is too old, or belongs to an earlier life.
     pub fn accept(&mut self, incarnation: Incarnation, number: u64) -> Result<(), ResultCode> {
         if incarnation < self.incarnation {
