Run the state machines in balancer and agent

Cause: the heartbeat and record messages changed, and the edges spoke the old ones directly. The control tasks of balancer and agent now drive GossipMachine and AnnounceMachine. Balancers join through the addresses in `peers`; a planned stop is announced, `kill` is not. An agent drops opening packets until a balancer has acknowledged it since its last pause.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use hawthorntide_membership::{AgentIdentity, AnnounceMachine, ControlGate};
 use hawthorntide_routing::{ConnectionIdCodec, KeyRing};
 use hawthorntide_types::{
-    DurationMs, EndpointId, FailureDomain, Incarnation, Phase, Profile, ServiceName, SlotCount,
+    DurationMs, EndpointId, FailureDomain, Incarnation, Phase, Profile, ServiceId, ServiceName,
+    SlotCount,
 };
 use hawthorntide_wire::ControlCodec;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -17,9 +19,10 @@
 use tokio_util::task::TaskTracker;
 
 use crate::connection_id::NamedConnectionIds;
+use crate::control::ControlPlane;
 use crate::socket::AgentSocket;
 use crate::upstream::UpstreamClient;
-use crate::{connection, control, tls};
+use crate::{connection, tls};
 
 /// Interval at which a drain looks whether flows are still open.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -99,14 +102,15 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) incarnation: Incarnation,
     pub(crate) data_address: SocketAddr,
-    pub(crate) control_address: SocketAddr,
-    pub(crate) failure_domain: FailureDomain,
-    pub(crate) slots: SlotCount,
     pub(crate) codec: ConnectionIdCodec,
     pub(crate) profile: Profile,
     pub(crate) upstream: UpstreamClient,
     pub(crate) work_slots: tokio::sync::Semaphore,
     pub(crate) is_draining: AtomicBool,
+    /// Whether a balancer has acknowledged the endpoint since the last pause.
+    pub(crate) is_announced: AtomicBool,
+    /// Set when the stop is not to be announced.
+    pub(crate) is_killed: AtomicBool,
     pub(crate) open_flows: AtomicU64,
     pub(crate) requests_in_progress: AtomicU64,
     pub(crate) stop: CancellationToken,
@@ -145,14 +149,13 @@
             endpoint: EndpointId::of_address(data_address),
             incarnation: options.incarnation,
             data_address,
-            control_address,
-            failure_domain: options.failure_domain,
-            slots: options.slots,
             codec: ConnectionIdCodec::new(options.keys),
             profile: options.profile,
             upstream: UpstreamClient::new(options.upstream_address),
             work_slots: tokio::sync::Semaphore::new(options.slots.get() as usize),
             is_draining: AtomicBool::new(false),
+            is_announced: AtomicBool::new(false),
+            is_killed: AtomicBool::new(false),
             open_flows: AtomicU64::new(0),
             requests_in_progress: AtomicU64::new(0),
             stop: CancellationToken::new(),
@@ -164,16 +167,22 @@
             endpoint.clone(),
             tasks.clone(),
         ));
-        let sender = options.control.sender(
-            hawthorntide_types::NodeId::of_address(control_address),
-            options.incarnation,
-        );
-        tasks.spawn(control::run(
-            Arc::clone(&shared),
-            control,
-            options.balancers,
-            sender,
-        ));
+        let identity = AgentIdentity {
+            incarnation: options.incarnation,
+            service: ServiceId::of_name(&shared.service),
+            data_address,
+            control_address,
+            slots: options.slots,
+            failure_domain: options.failure_domain,
+        };
+        let plane = ControlPlane {
+            shared: Arc::clone(&shared),
+            socket: control,
+            gate: ControlGate::new(options.control, control_address, options.incarnation),
+            machine: AnnounceMachine::new(identity, rand::random()),
+            started: tokio::time::Instant::now(),
+        };
+        tasks.spawn(plane.run(options.balancers));
         log::info!("agent: Serving {} at {data_address}.", shared.service);
         Ok(Self {
             shared,
@@ -210,7 +219,13 @@
         log::info!("agent: Drain began with {} open flows.", self.open_flows());
     }
 
-    /// Closes all connections and waits for the tasks.
+    /// Stops at once without a word to the balancers, like a process that dies.
+    pub async fn kill(self) {
+        self.shared.is_killed.store(true, Ordering::Relaxed);
+        self.stop().await;
+    }
+
+    /// Announces the departure, closes all connections and waits for the tasks.
     pub async fn stop(self) {
         self.shared.stop.cancel();
         self.endpoint.close(quinn::VarInt::from_u32(0), b"");
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -1,114 +1,121 @@
-//! Control plane of an agent: announcements to balancers.
+//! Control plane of an agent: drives the announcement machine.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use hawthorntide_types::{Phase, ServiceId};
-use hawthorntide_wire::SealedSender;
-use hawthorntide_wire::control::{
-    self, Address, ControlMessage, EndpointRecord, Heartbeat, control_message::Body,
-};
+use hawthorntide_membership::{AnnounceAction, AnnounceEvent, AnnounceMachine, ControlGate};
+use hawthorntide_types::{Phase, TimeMs};
+use hawthorntide_wire::MAX_CONTROL_BYTES;
+use hawthorntide_wire::control::ControlMessage;
 use tokio::net::UdpSocket;
 
 use crate::agent::Shared;
 
-/// Interval of heartbeats.
-const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Interval of the machine's ticks; a change of phase is noticed and announced within it.
+const TICK: Duration = Duration::from_millis(20);
 
-/// Interval at which a change of phase is noticed and announced.
-const CHANGE_POLL: Duration = Duration::from_millis(20);
+/// Control socket with the machine behind it.
+#[derive(Debug)]
+pub(crate) struct ControlPlane {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) socket: UdpSocket,
+    pub(crate) gate: ControlGate,
+    pub(crate) machine: AnnounceMachine,
+    pub(crate) started: tokio::time::Instant,
+}
 
-/// Announces this endpoint until the agent stops.
-pub(crate) async fn run(
-    shared: Arc<Shared>,
-    socket: UdpSocket,
-    balancers: Vec<SocketAddr>,
-    mut sender: SealedSender,
-) {
-    let mut revision = 0;
-    let mut announced = None;
-    let mut next = tokio::time::Instant::now();
-    loop {
-        let phase = shared.phase();
-        if announced != Some(phase) || tokio::time::Instant::now() >= next {
-            if announced != Some(phase) {
-                revision += 1;
+impl ControlPlane {
+    /// Announces the endpoint until the agent stops, and announces a planned stop.
+    pub(crate) async fn run(mut self, balancers: Vec<SocketAddr>) {
+        self.handle(AnnounceEvent::SeedPeers(balancers)).await;
+        self.handle(AnnounceEvent::Serve).await;
+        let mut buffer = [0; MAX_CONTROL_BYTES + 1];
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        let stop = self.shared.stop.clone();
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                _ = ticks.tick() => {
+                    self.follow_phase().await;
+                    self.handle(AnnounceEvent::Tick).await;
+                }
+                received = self.socket.recv_from(&mut buffer) => {
+                    // An ICMP answer to an earlier datagram surfaces here as an error.
+                    if let Ok((length, from)) = received {
+                        self.receive(from, &buffer[..length]).await;
+                    }
+                }
             }
-            announced = Some(phase);
-            next = tokio::time::Instant::now() + HEARTBEAT;
-            announce(&shared, &socket, &balancers, &mut sender, revision).await;
-        }
-        if phase == Phase::Gone {
-            return;
         }
-        tokio::select! {
-            () = shared.stop.cancelled() => {}
-            () = tokio::time::sleep(CHANGE_POLL) => {}
+        if !self.shared.is_killed.load(Ordering::Relaxed) {
+            self.handle(AnnounceEvent::Leave).await;
         }
     }
-}
 
-async fn announce(
-    shared: &Shared,
-    socket: &UdpSocket,
-    balancers: &[SocketAddr],
-    sender: &mut SealedSender,
-    revision: u32,
-) {
-    let endpoint = Some(record(shared, revision));
-    let heartbeat = Heartbeat {
-        endpoint,
-        configuration_hash: 0,
-        peers_hash: 0,
-    };
-    let message = ControlMessage {
-        body: Some(Body::Heartbeat(heartbeat)),
-    };
-    for balancer in balancers {
-        let Ok(datagram) = sender.seal(&message) else {
-            continue;
-        };
-        if let Err(error) = socket.send_to(&datagram, balancer).await {
-            log::debug!("agent: Heartbeat to {balancer} failed: {error}.");
+    async fn follow_phase(&mut self) {
+        let is_drain_new =
+            self.shared.phase() == Phase::Draining && self.machine.own().phase < Phase::Draining;
+        if is_drain_new {
+            let known = self.machine.balancers();
+            let recent_balancers = known.iter().map(|peer| peer.data_address).collect();
+            self.handle(AnnounceEvent::Drain { recent_balancers }).await;
         }
     }
-}
 
-fn record(shared: &Shared, revision: u32) -> EndpointRecord {
-    let phase = shared.phase();
-    EndpointRecord {
-        endpoint_id: shared.endpoint.get(),
-        incarnation: shared.incarnation.get(),
-        revision,
-        service_id: ServiceId::of_name(&shared.service).get(),
-        data_address: Some(address(shared.data_address)),
-        control_address: Some(address(shared.control_address)),
-        phase: wire_phase(phase).into(),
-        weight_per_mille: if phase.takes_new_flows() { 1000 } else { 0 },
-        slots: shared.slots.get(),
-        failure_domain: shared.failure_domain.to_string(),
-        suspected: false,
-        removed: false,
+    async fn receive(&mut self, from: SocketAddr, datagram: &[u8]) {
+        match self.gate.open(from, datagram) {
+            Ok((from, message)) => self.handle(AnnounceEvent::Message { from, message }).await,
+            Err(dropped) => {
+                metrics::counter!("hawthorntide_control_dropped_total", "code" => dropped.code.name())
+                    .increment(1);
+                log::debug!("agent: Datagram of {from} dropped: {}.", dropped.code);
+            }
+        }
     }
-}
 
-fn address(address: SocketAddr) -> Address {
-    let ip = match address.ip() {
-        IpAddr::V4(ip) => ip.octets().to_vec(),
-        IpAddr::V6(ip) => ip.octets().to_vec(),
-    };
-    Address {
-        ip,
-        port: address.port().into(),
+    async fn handle(&mut self, event: AnnounceEvent) {
+        let now = TimeMs(self.started.elapsed().as_millis() as u64);
+        let mut out = Vec::new();
+        self.machine.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                AnnounceAction::Send { to, message } => self.send(to, &message).await,
+                AnnounceAction::IncarnationRaised(raised) => self.gate.raise_incarnation(raised),
+                AnnounceAction::Lapsed(pause) => {
+                    log::warn!(
+                        "agent: The process paused for {pause} ms and announces itself again."
+                    );
+                }
+                AnnounceAction::ConfigurationReceived(object) => {
+                    log::info!(
+                        "configuration: {}/{} has version {}.",
+                        object.kind,
+                        object.name,
+                        object.version
+                    );
+                }
+                AnnounceAction::PeersChanged | AnnounceAction::NewWorkAllowed(_) => {}
+            }
+        }
+        let is_announced = self.machine.is_announced();
+        self.shared
+            .is_announced
+            .store(is_announced, Ordering::Relaxed);
     }
-}
 
-fn wire_phase(phase: Phase) -> control::Phase {
-    match phase {
-        Phase::Joining => control::Phase::Joining,
-        Phase::Serving => control::Phase::Serving,
-        Phase::Draining => control::Phase::Draining,
-        Phase::Gone => control::Phase::Gone,
+    async fn send(&mut self, to: SocketAddr, message: &ControlMessage) {
+        let datagram = match self.gate.seal(message) {
+            Ok(datagram) => datagram,
+            Err(code) => {
+                log::error!("agent: Message to {to} not sent: {code}.");
+                return;
+            }
+        };
+        if let Err(error) = self.socket.send_to(&datagram, to).await {
+            log::debug!("agent: Message to {to} not sent: {error}.");
+        }
     }
 }
--- a/crates/agent/src/socket.rs
+++ b/crates/agent/src/socket.rs
@@ -3,6 +3,7 @@
 use std::io::{self, IoSliceMut};
 use std::net::{IpAddr, Ipv6Addr, SocketAddr};
 use std::pin::Pin;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 
@@ -67,6 +68,13 @@
                 .increment(1);
             return None;
         }
+        // Balancers may have removed an endpoint whose process was paused.
+        let is_announced = self.shared.is_announced.load(Ordering::Relaxed);
+        if header.kind == ForwardKind::Opening && !is_announced {
+            metrics::counter!("hawthorntide_agent_packets_dropped_total", "code" => "not-announced")
+                .increment(1);
+            return None;
+        }
         let mut paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
         paths.heard(from, Instant::now());
         Some((header, paths.index_of(header.service_address)))
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -1,19 +1,22 @@
 //! Running balancer: its sockets, tasks and shared state.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
 use displaydoc::Display;
+use hawthorntide_membership::{BalancerIdentity, ControlGate, GossipMachine};
 use hawthorntide_routing::{ConnectionIdCodec, KeyRing, RoutingTable};
 use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
 use hawthorntide_wire::ControlCodec;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::{control, forward};
+use crate::control::{Command, ControlHandle, ControlPlane, MAX_COMMANDS};
+use crate::forward;
 
 /// Time without packets after which a draining balancer ends.
 const QUIET: Duration = Duration::from_secs(2);
@@ -48,6 +51,10 @@
     pub ingress: Ingress,
     /// Services that are known at the start.
     pub services: Vec<Service>,
+    /// Control addresses of balancers that may be up.
+    pub peers: Vec<SocketAddr>,
+    /// Address of the administration API.
+    pub admin_address: Option<SocketAddr>,
     /// Opens and seals control messages.
     pub control: ControlCodec,
     /// Keys of connection identifiers.
@@ -92,6 +99,8 @@
     pub(crate) packets_replied: AtomicU64,
     pub(crate) packets_dropped: AtomicU64,
     pub(crate) stop: CancellationToken,
+    /// Set when the stop is not to be announced.
+    pub(crate) is_killed: AtomicBool,
 }
 
 impl Shared {
@@ -107,6 +116,7 @@
     tasks: TaskTracker,
     data_address: SocketAddr,
     control_address: SocketAddr,
+    commands: mpsc::Sender<Command>,
 }
 
 impl Balancer {
@@ -129,6 +139,7 @@
             packets_replied: AtomicU64::new(0),
             packets_dropped: AtomicU64::new(0),
             stop: CancellationToken::new(),
+            is_killed: AtomicBool::new(false),
         });
         let tasks = TaskTracker::new();
         let mut service_sockets = Vec::new();
@@ -155,7 +166,23 @@
             data,
             service_sockets,
         ));
-        tasks.spawn(control::run(Arc::clone(&shared), control, options.control));
+        let identity = BalancerIdentity {
+            incarnation: options.incarnation,
+            control_address,
+            data_address,
+            admin_address: options.admin_address,
+            failure_domain: options.failure_domain,
+            region: options.region,
+        };
+        let (commands, received) = mpsc::channel(MAX_COMMANDS);
+        let plane = ControlPlane::new(
+            Arc::clone(&shared),
+            control,
+            ControlGate::new(options.control, control_address, options.incarnation),
+            GossipMachine::new(identity, rand::random()),
+            received,
+        );
+        tasks.spawn(plane.run(options.peers));
         log::info!(
             "balancer: Node {} forwards at {data_address}.",
             NodeId::of_address(control_address)
@@ -165,9 +192,15 @@
             tasks,
             data_address,
             control_address,
+            commands,
         })
     }
 
+    /// Returns access to the control plane.
+    pub fn control(&self) -> ControlHandle {
+        ControlHandle::new(self.commands.clone())
+    }
+
     /// Returns the address for packets of agents and of an encapsulating fabric.
     pub const fn data_address(&self) -> SocketAddr {
         self.data_address
@@ -189,6 +222,7 @@
 
     /// Forwards until no packet came for two seconds or `limit` passes, then stops.
     pub async fn drain(self, limit: DurationMs) -> BalancerReport {
+        self.control().announce_drain().await;
         let end = tokio::time::Instant::now() + Duration::from(limit);
         let mut last = self.report();
         let mut changed = tokio::time::Instant::now();
@@ -204,7 +238,13 @@
         report
     }
 
-    /// Stops at once.
+    /// Stops at once without a word to the others, like a process that dies.
+    pub async fn kill(self) {
+        self.shared.is_killed.store(true, Ordering::Relaxed);
+        self.stop().await;
+    }
+
+    /// Announces the departure and stops.
     pub async fn stop(self) {
         self.shared.stop.cancel();
         self.tasks.close();
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,3 +5,4 @@
 mod forward;
 
 pub use balancer::{Balancer, BalancerError, BalancerOptions, BalancerReport, Ingress};
+pub use control::{ControlHandle, MembershipView};
--- a/crates/membership/src/announce.rs
+++ b/crates/membership/src/announce.rs
@@ -233,6 +233,11 @@
         self.is_announced && self.own.phase == Phase::Serving
     }
 
+    /// Returns whether a home balancer has acknowledged the endpoint since the last pause.
+    pub const fn is_announced(&self) -> bool {
+        self.is_announced
+    }
+
     /// Returns the highest states known of the siblings, in ascending order of identifiers.
     pub fn siblings(&self) -> Vec<Endpoint> {
         merge_told(self.sources.iter().flat_map(|source| &source.siblings))
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -69,7 +69,7 @@
         let mut balancers = Vec::new();
         for number in 0..deployment.balancers {
             let domain = domain(deployment, number);
-            let balancer = spawn_balancer(&secrets, &services, domain, &fabric).await?;
+            let balancer = spawn_balancer(&secrets, &services, domain, &fabric, &balancers).await?;
             let delay = Duration::from(deployment.caller_delay_ms);
             fabric.attach_balancer(BalancerLink {
                 address: balancer.data_address(),
@@ -168,6 +168,7 @@
     services: &[Service],
     failure_domain: FailureDomain,
     fabric: &Fabric,
+    earlier: &[Balancer],
 ) -> Result<Balancer, WorldError> {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let options = BalancerOptions {
@@ -179,6 +180,8 @@
             fabric_address: fabric.address(),
         },
         services: services.to_vec(),
+        peers: earlier.iter().map(Balancer::control_address).collect(),
+        admin_address: None,
         control: secrets.control.clone(),
         keys: secrets.keys.clone(),
         incarnation: incarnation(),
