--- /dev/null
+++ b/crates/trial/src/deployment.rs
@@ -0,0 +1,420 @@
+//! Deployment file: failure domains, balancers, services, upstreams and the callers' mix.
+
+use std::path::Path;
+
+use displaydoc::Display;
+use hawthorntide_types::{
+    ByteCount, DurationMs, FailureDomain, PerMille, Profile, ProfileName, RatePerSecond, Region,
+    ServiceName, SlotCount, WorkKind,
+};
+use serde::Deserialize;
+
+/// Delay in microseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct DelayUs(pub u64);
+
+impl From<DelayUs> for std::time::Duration {
+    fn from(delay: DelayUs) -> Self {
+        Self::from_micros(delay.0)
+    }
+}
+
+/// Deployment of one operator.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Deployment {
+    /// Name shown in reports.
+    pub name: String,
+    /// Part of the connections of the file that the trial opens.
+    pub connection_scale_per_mille: u32,
+    /// One-way delay between two failure domains.
+    pub domain_delay_us: DelayUs,
+    /// One-way delay between callers and entry VMs.
+    pub caller_delay_us: DelayUs,
+    /// Failure domains.
+    pub failure_domains: Vec<DomainEntry>,
+    /// Entry VMs.
+    pub balancers: Vec<BalancerGroup>,
+    /// Profiles that services may follow.
+    pub profiles: Vec<Profile>,
+    /// Services.
+    pub services: Vec<ServiceEntry>,
+}
+
+/// Failure domain of a deployment.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DomainEntry {
+    /// Name of the failure domain.
+    pub name: FailureDomain,
+    /// Region that it belongs to.
+    pub region: Region,
+}
+
+/// Balancers in one failure domain.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BalancerGroup {
+    /// Failure domain of the balancers.
+    pub failure_domain: FailureDomain,
+    /// Number of balancers.
+    pub count: u32,
+}
+
+/// Service of a deployment.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceEntry {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Profile that it follows from the start.
+    pub profile: ProfileName,
+    /// Number of service addresses.
+    #[serde(default = "one")]
+    pub addresses: u32,
+    /// Upstreams with their agents.
+    pub upstreams: Vec<UpstreamGroup>,
+    /// Connections per upstream before scaling.
+    pub connections_per_upstream: u32,
+    /// Connections that callers close and open again.
+    #[serde(default)]
+    pub new_flows_per_second: RatePerSecond,
+    /// What callers ask for.
+    pub callers: Vec<CallerMix>,
+}
+
+/// Upstreams of one service in one failure domain.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamGroup {
+    /// Failure domain of the upstreams.
+    pub failure_domain: FailureDomain,
+    /// Number of upstreams.
+    pub count: u32,
+    /// Slots of each upstream.
+    pub slots: SlotCount,
+    /// Mean time that a reservation or sheet holds a slot.
+    pub service_time_ms: DurationMs,
+    /// Time after a start during which work takes longer.
+    #[serde(default)]
+    pub cold_start_ms: DurationMs,
+}
+
+/// One kind of work that callers ask for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallerMix {
+    /// Kind of work.
+    pub kind: WorkKind,
+    /// Requests in relation to the capacity of all slots; for reservations and sheets.
+    #[serde(default)]
+    pub load_per_mille: u32,
+    /// Connections that hold an open stream; for streams.
+    #[serde(default)]
+    pub connections_per_mille: PerMille,
+    /// Size of an answer; for reservations and sheets.
+    #[serde(default)]
+    pub answer_bytes: ByteCount,
+    /// Deadline that callers give.
+    pub deadline_ms: DurationMs,
+}
+
+/// {file}: {field}: {reason}
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub struct DeploymentProblem {
+    /// File that was read.
+    pub file: String,
+    /// Path of the field.
+    pub field: String,
+    /// What is wrong and what is accepted.
+    pub reason: String,
+}
+
+impl std::error::Error for DeploymentProblem {}
+
+/// Most processes of one role that a trial runs; it is no cluster simulator.
+const MAX_PROCESSES: u32 = 200;
+/// Most connections that a trial opens; each takes about 60 KiB in the callers and agents.
+const MAX_CONNECTIONS: u64 = 40_000;
+/// Longest delay of the fabric: one second.
+const MAX_DELAY_US: u64 = 1_000_000;
+/// Whole of a share in thousandths.
+const WHOLE_PER_MILLE: u32 = 1000;
+/// Largest answer: 16 MiB.
+const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+
+const fn one() -> u32 {
+    1
+}
+
+impl Deployment {
+    /// Reads and checks a deployment file.
+    pub fn read(path: &Path) -> Result<Self, Vec<DeploymentProblem>> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&text, &file),
+            Err(error) => Err(vec![DeploymentProblem {
+                file,
+                field: "file".to_owned(),
+                reason: format!("cannot be read: {error}"),
+            }]),
+        }
+    }
+
+    /// Parses and checks JSON with comments.
+    pub fn parse(text: &str, file: &str) -> Result<Self, Vec<DeploymentProblem>> {
+        let options = jsonc_parser::ParseOptions::default();
+        let deployment: Self = match jsonc_parser::parse_to_serde_value(text, &options) {
+            Ok(deployment) => deployment,
+            Err(error) => {
+                return Err(vec![DeploymentProblem {
+                    file: file.to_owned(),
+                    field: "syntax".to_owned(),
+                    reason: error.to_string(),
+                }]);
+            }
+        };
+        let mut checker = Checker {
+            file,
+            problems: Vec::new(),
+        };
+        checker.check(&deployment);
+        if checker.problems.is_empty() {
+            Ok(deployment)
+        } else {
+            Err(checker.problems)
+        }
+    }
+
+    /// Returns the profile called `name`.
+    pub fn profile(&self, name: &ProfileName) -> Option<&Profile> {
+        self.profiles.iter().find(|profile| profile.name == *name)
+    }
+
+    /// Returns the connections that the trial opens to `service`.
+    pub fn connections(&self, service: &ServiceEntry) -> u64 {
+        let all = u64::from(service.upstream_count()) * u64::from(service.connections_per_upstream);
+        let scaled = all * u64::from(self.connection_scale_per_mille) / u64::from(WHOLE_PER_MILLE);
+        scaled.max(u64::from(service.connections_per_upstream.min(1)))
+    }
+}
+
+impl ServiceEntry {
+    /// Returns the number of upstreams.
+    pub fn upstream_count(&self) -> u32 {
+        let counts = self.upstreams.iter().map(|group| group.count);
+        counts.fold(0, u32::saturating_add)
+    }
+
+    /// Returns the requests per second that all slots can serve.
+    pub fn capacity_per_second(&self) -> f64 {
+        let groups = self.upstreams.iter();
+        groups
+            .map(|group| {
+                let slots = f64::from(group.count) * f64::from(group.slots.get());
+                slots * 1000.0 / group.service_time_ms.get() as f64
+            })
+            .sum()
+    }
+
+    /// Returns what callers ask for of `kind`.
+    pub fn mix(&self, kind: WorkKind) -> Option<&CallerMix> {
+        self.callers.iter().find(|mix| mix.kind == kind)
+    }
+}
+
+struct Checker<'a> {
+    file: &'a str,
+    problems: Vec<DeploymentProblem>,
+}
+
+impl Checker<'_> {
+    fn refuse(&mut self, field: impl Into<String>, reason: impl Into<String>) {
+        self.problems.push(DeploymentProblem {
+            file: self.file.to_owned(),
+            field: field.into(),
+            reason: reason.into(),
+        });
+    }
+
+    fn require(&mut self, holds: bool, field: impl Into<String>, reason: &str) {
+        if !holds {
+            self.refuse(field, reason);
+        }
+    }
+
+    fn check(&mut self, deployment: &Deployment) {
+        let scale = deployment.connection_scale_per_mille;
+        self.require(
+            (1..=WHOLE_PER_MILLE).contains(&scale),
+            "connection_scale_per_mille",
+            "1 to 1000 is accepted",
+        );
+        for (field, delay) in [
+            ("domain_delay_us", deployment.domain_delay_us),
+            ("caller_delay_us", deployment.caller_delay_us),
+        ] {
+            self.require(delay.0 <= MAX_DELAY_US, field, "0 to 1000000 is accepted");
+        }
+        self.check_domains(deployment);
+        self.check_balancers(deployment);
+        self.check_profiles(deployment);
+        self.check_services(deployment);
+    }
+
+    fn check_domains(&mut self, deployment: &Deployment) {
+        let names: Vec<_> = deployment.failure_domains.iter().map(|d| &d.name).collect();
+        self.require(
+            !names.is_empty(),
+            "failure_domains",
+            "one or more is needed",
+        );
+        self.require_unique("failure_domains", &names);
+    }
+
+    fn check_balancers(&mut self, deployment: &Deployment) {
+        let counts = deployment.balancers.iter().map(|group| group.count);
+        let count = counts.fold(0, u32::saturating_add);
+        self.require(
+            (1..=MAX_PROCESSES).contains(&count),
+            "balancers",
+            "1 to 200 balancers are accepted",
+        );
+        for (index, group) in deployment.balancers.iter().enumerate() {
+            let field = format!("balancers[{index}].failure_domain");
+            self.require_domain(deployment, field, &group.failure_domain);
+        }
+    }
+
+    fn check_profiles(&mut self, deployment: &Deployment) {
+        let names: Vec<_> = deployment.profiles.iter().map(|p| &p.name).collect();
+        self.require_unique("profiles", &names);
+        for profile in &deployment.profiles {
+            for problem in profile.check() {
+                let field = format!("profiles.{}.{}", profile.name, problem.field);
+                self.refuse(field, problem.reason);
+            }
+        }
+    }
+
+    fn check_services(&mut self, deployment: &Deployment) {
+        let services = &deployment.services;
+        self.require(!services.is_empty(), "services", "one or more is needed");
+        let names: Vec<_> = services.iter().map(|service| &service.name).collect();
+        self.require_unique("services", &names);
+        let upstreams = services.iter().map(ServiceEntry::upstream_count);
+        self.require(
+            upstreams.fold(0, u32::saturating_add) <= MAX_PROCESSES,
+            "services",
+            "at most 200 upstreams are accepted",
+        );
+        let connections = services
+            .iter()
+            .map(|service| deployment.connections(service));
+        self.require(
+            connections.fold(0, u64::saturating_add) <= MAX_CONNECTIONS,
+            "connection_scale_per_mille",
+            "at most 40000 connections are opened; choose a smaller scale",
+        );
+        for service in services {
+            self.check_service(deployment, service);
+        }
+    }
+
+    fn check_service(&mut self, deployment: &Deployment, service: &ServiceEntry) {
+        let path = format!("services.{}", service.name);
+        self.require(
+            (1..=64).contains(&service.addresses),
+            format!("{path}.addresses"),
+            "1 to 64 is accepted",
+        );
+        self.require(
+            service.upstream_count() > 0,
+            format!("{path}.upstreams"),
+            "one or more is needed",
+        );
+        for (index, group) in service.upstreams.iter().enumerate() {
+            let path = format!("{path}.upstreams[{index}]");
+            self.require_domain(
+                deployment,
+                format!("{path}.failure_domain"),
+                &group.failure_domain,
+            );
+            self.require(
+                group.slots.get() > 0,
+                format!("{path}.slots"),
+                "1 or more is accepted",
+            );
+            self.require(
+                (1..=60_000).contains(&group.service_time_ms.get()),
+                format!("{path}.service_time_ms"),
+                "1 to 60000 is accepted",
+            );
+        }
+        let Some(profile) = deployment.profile(&service.profile) else {
+            self.refuse(
+                format!("{path}.profile"),
+                format!("no profile is called {}", service.profile),
+            );
+            return;
+        };
+        let kinds: Vec<_> = service.callers.iter().map(|mix| mix.kind).collect();
+        self.require_unique(&format!("{path}.callers"), &kinds);
+        for mix in &service.callers {
+            self.check_mix(&format!("{path}.callers.{}", mix.kind), mix, profile);
+        }
+    }
+
+    fn check_mix(&mut self, path: &str, mix: &CallerMix, profile: &Profile) {
+        self.require(
+            profile.work(mix.kind).is_some(),
+            path,
+            "the profile of the service has no such kind of work",
+        );
+        self.require(
+            mix.deadline_ms.get() > 0,
+            format!("{path}.deadline_ms"),
+            "1 or more is accepted",
+        );
+        self.require(
+            mix.answer_bytes.get() <= MAX_ANSWER_BYTES,
+            format!("{path}.answer_bytes"),
+            "0 to 16777216 is accepted",
+        );
+        let is_stream = mix.kind == WorkKind::Stream;
+        self.require(
+            !is_stream || mix.load_per_mille == 0,
+            format!("{path}.load_per_mille"),
+            "a stream holds no slot; use connections_per_mille",
+        );
+        self.require(
+            is_stream || mix.connections_per_mille.get() == 0,
+            format!("{path}.connections_per_mille"),
+            "only streams stay open; use load_per_mille",
+        );
+        self.require(
+            u32::from(mix.connections_per_mille.get()) <= WHOLE_PER_MILLE,
+            format!("{path}.connections_per_mille"),
+            "0 to 1000 is accepted",
+        );
+    }
+
+    fn require_domain(&mut self, deployment: &Deployment, field: String, domain: &FailureDomain) {
+        let is_known = deployment.failure_domains.iter().any(|d| d.name == *domain);
+        if !is_known {
+            self.refuse(field, format!("no failure domain is called {domain}"));
+        }
+    }
+
+    fn require_unique<T: Ord>(&mut self, field: &str, names: &[T]) {
+        let mut sorted: Vec<_> = names.iter().collect();
+        sorted.sort();
+        sorted.dedup();
+        self.require(
+            sorted.len() == names.len(),
+            field,
+            "each name may appear once",
+        );
+    }
+}
