--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod fabric;
 mod link;
+mod store;
 mod upstream;
 mod work;
 
 pub use fabric::{BalancerLink, Fabric, FabricCounts, FabricOptions, ServiceSocket};
 pub use link::UpstreamFault;
+pub use store::{CallCounts, StoreFaults, StoreHandle, StoreServer, StoreServerOptions};
 pub use upstream::{Reports, RunRecord, Upstream, UpstreamCounts, UpstreamOptions};
 pub use work::{STREAM_MESSAGE_BYTES, WorkOrder};
