--- /dev/null
+++ b/crates/trial/src/process.rs
@@ -0,0 +1,148 @@
+//! Processes of a trial: each has a runtime of its own, so that it can be killed or paused as a whole.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hawthorntide_agent::{Agent, DrainReport};
+use hawthorntide_balancer::{Balancer, BalancerReport};
+use hawthorntide_emulator::Upstream;
+use hawthorntide_types::{DurationMs, ServiceName};
+use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
+
+/// Runtime with one thread, as a process on a small VM has it.
+#[derive(Debug)]
+pub(crate) struct ProcessRuntime(Option<Runtime>);
+
+impl ProcessRuntime {
+    pub(crate) fn new(name: &str) -> std::io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name(name)
+            .enable_all()
+            .build()?;
+        Ok(Self(Some(runtime)))
+    }
+
+    /// Runs `task` in the process.
+    pub(crate) fn spawn<T: Send + 'static>(
+        &self,
+        task: impl Future<Output = T> + Send + 'static,
+    ) -> Option<JoinHandle<T>> {
+        Some(self.0.as_ref()?.spawn(task))
+    }
+
+    /// Ends all tasks without notice to anybody.
+    pub(crate) fn kill(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for ProcessRuntime {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Balancer of a trial.
+#[derive(Debug)]
+pub struct BalancerProcess {
+    pub(crate) runtime: ProcessRuntime,
+    pub(crate) balancer: Option<Balancer>,
+    pub(crate) data_address: SocketAddr,
+    pub(crate) control_address: SocketAddr,
+}
+
+impl BalancerProcess {
+    /// Returns the data address.
+    pub const fn data_address(&self) -> SocketAddr {
+        self.data_address
+    }
+
+    /// Returns whether the balancer runs and was not told to stop.
+    pub const fn is_serving(&self) -> bool {
+        self.balancer.is_some()
+    }
+
+    /// Returns the running balancer.
+    pub const fn balancer(&self) -> Option<&Balancer> {
+        self.balancer.as_ref()
+    }
+
+    /// Begins a graceful shutdown; the handle yields the report of the balancer.
+    pub fn begin_stop(&mut self, limit: DurationMs) -> Option<JoinHandle<BalancerReport>> {
+        let balancer = self.balancer.take()?;
+        self.runtime
+            .spawn(async move { balancer.drain(limit).await })
+    }
+
+    /// Ends the process without notice.
+    pub fn kill(&mut self) {
+        self.runtime.kill();
+        self.balancer = None;
+    }
+
+    /// Stops all tasks of the process for `length`, as a stopped or starved VM does.
+    pub fn pause(&self, length: Duration) {
+        let pause = async move { std::thread::sleep(length) };
+        if self.runtime.spawn(pause).is_none() {
+            log::warn!("trial: A balancer that is gone cannot be paused.");
+        }
+    }
+}
+
+/// Upstream of a trial with its agent.
+#[derive(Debug)]
+pub struct UpstreamProcess {
+    pub(crate) runtime: ProcessRuntime,
+    pub(crate) agent: Option<Agent>,
+    pub(crate) service: ServiceName,
+    pub(crate) upstream: Upstream,
+    pub(crate) drain_began: Option<Instant>,
+    pub(crate) was_killed: bool,
+}
+
+impl UpstreamProcess {
+    /// Returns the service.
+    pub const fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// Returns the upstream, whose records stay readable after its end.
+    pub const fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Returns whether the upstream takes new work.
+    pub const fn is_serving(&self) -> bool {
+        self.agent.is_some()
+    }
+
+    /// Returns whether the upstream was killed.
+    pub const fn was_killed(&self) -> bool {
+        self.was_killed
+    }
+
+    /// Returns when the drain began.
+    pub const fn drain_began(&self) -> Option<Instant> {
+        self.drain_began
+    }
+
+    /// Begins a drain; the handle yields what was open at its end.
+    pub fn begin_drain(&mut self, limit: DurationMs) -> Option<JoinHandle<DrainReport>> {
+        let agent = self.agent.take()?;
+        self.drain_began = Some(Instant::now());
+        self.upstream.begin_drain();
+        self.runtime.spawn(async move { agent.drain(limit).await })
+    }
+
+    /// Ends agent and upstream without notice.
+    pub fn kill(&mut self) {
+        self.was_killed = true;
+        self.runtime.kill();
+        self.upstream.kill();
+        self.agent = None;
+    }
+}
