--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -6,6 +6,7 @@
 mod key_file;
 mod object_check;
 mod problem;
+mod replica;
 mod section;
 mod settings;
 
@@ -14,4 +15,8 @@
 pub use key_file::{KeyFiles, Keys, TlsFiles, TlsMaterial};
 pub use object_check::{Catalog, check_profile, check_service, check_service_file};
 pub use problem::SettingsProblem;
+pub use replica::{
+    MAX_VALUE_BYTES, Object, Outcome, PROFILE_KIND, REPLICA_BUCKETS, Replica, SERVICE_KIND,
+    bucket_of, state_hash,
+};
 pub use settings::{LogFormat, LogLevel, LogSettings, Settings, check, open};
--- a/crates/trial/tests/path.rs
+++ b/crates/trial/tests/path.rs
@@ -1,51 +1,26 @@
 //! Guards the whole path from caller to upstream over real sockets.
 
+use std::path::Path;
 use std::time::Duration;
 
 use googletest::prelude::*;
 use hawthorntide_client::{Call, CallerOptions, CallerSocket};
 use hawthorntide_emulator::WorkOrder;
 use hawthorntide_trial::{Deployment, World};
-use hawthorntide_types::{DurationMs, ResultCode, ServiceId, WorkKind};
+use hawthorntide_types::{DurationMs, ResultCode, ServiceId, ServiceName, WorkKind};
 use prost::Message;
 
-const DEPLOYMENT: &str = r#"{
-    "failure_domains": ["bzh-rns", "bzh-brs", "bzh-vns"],
-    "caller_delay_ms": 1,
-    "balancers": 3,
-    "services": [{
-        "name": "stockd", "endpoints": 3, "slots": 2, "service_time_ms": 5,
-        "profile": {
-            "name": "streams", "target_delay_ms": 20, "drain_limit_ms": 60000,
-            "work": [
-                {
-                    "kind": "stream", "idempotent": true,
-                    "calm": {"urgency": "high", "share_per_mille": 100, "queue_wait_ms": 1000,
-                        "deadline_ms": 86400000, "new_flows_per_second": 5000, "retry_budget_per_mille": 0},
-                    "crowded": {"urgency": "high", "share_per_mille": 100, "queue_wait_ms": 1000,
-                        "deadline_ms": 86400000, "new_flows_per_second": 5000, "retry_budget_per_mille": 0}
-                },
-                {
-                    "kind": "reservation", "idempotent": false,
-                    "calm": {"urgency": "high", "share_per_mille": 500, "queue_wait_ms": 1000,
-                        "deadline_ms": 2000, "new_flows_per_second": 5000, "retry_budget_per_mille": 0},
-                    "crowded": {"urgency": "high", "share_per_mille": 500, "queue_wait_ms": 1000,
-                        "deadline_ms": 2000, "new_flows_per_second": 5000, "retry_budget_per_mille": 0}
-                }
-            ]
-        }
-    }]
-}"#;
-
 // Guards against any break between caller, fabric, balancer, agent and upstream, and against a
 // stream that ends when a balancer stops.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_flow_is_served_and_survives_a_balancer_that_stops() {
-    let deployment: Deployment = serde_json::from_str(DEPLOYMENT).unwrap();
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kerval.jsonc");
+    let deployment = Deployment::read(&example).unwrap();
     let mut world = World::spawn(&deployment, 1).await.unwrap();
     // The first heartbeats are under way.
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let (service, address) = world.service_addresses[0].clone();
+    let service: ServiceName = "stockd".parse().unwrap();
+    let address = world.service_address(&service, 0).unwrap();
     let socket = CallerSocket::bind(CallerOptions {
         local_address: "127.0.0.1:0".parse().unwrap(),
         authority: vec![world.authority.certificate()],
@@ -72,9 +47,11 @@
 
     let mut stream = caller.open_stream(order.encode_to_vec()).await.unwrap();
     assert_that!(stream.next_message().await, ok(some(anything())));
-    let stopped = world.balancers.remove(0);
-    world.fabric.detach_balancer(stopped.data_address());
-    stopped.stop().await;
+    world
+        .fabric
+        .detach_balancer(world.balancers[0].data_address());
+    let stop = world.balancers[0].begin_stop(DurationMs(500)).unwrap();
+    stop.await.unwrap();
     for _ in 0..3 {
         assert_that!(stream.next_message().await, ok(some(anything())));
     }
@@ -85,5 +62,4 @@
     assert_that!(resumed.session(), eq(caller.session()));
     drop(stream);
     socket.close().await;
-    world.stop().await;
 }
