--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -222,7 +222,7 @@
         level: LogLevel::Info,
         writes: 0,
     })));
-    let operations: Arc<dyn Operations> = balancer.clone();
+    let operations = Arc::<FakeBalancer>::clone(&balancer);
     let options = AdminOptions { teams, limits };
     let address = "127.0.0.1:0".parse().unwrap();
     let server = AdminServer::bind(address, options, operations)
