--- a/crates/configuration/src/balancer_settings.rs
+++ b/crates/configuration/src/balancer_settings.rs
@@ -1,12 +1,12 @@
 //! Settings of a balancer.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
 use hawthorntide_types::{DurationMs, FailureDomain, ParseValueError, Region, ServiceName};
 
-use crate::key_file::KeyFiles;
+use crate::key_file::{KeyFiles, beside};
 use crate::section::Section;
 use crate::settings::{LogSettings, read_log};
 
@@ -137,7 +137,7 @@
         let key_files = KeyFiles::read(root, file);
         let worker_count = root.optional_number("worker_count", 1..=MAX_WORKERS);
         let log = read_log(root);
-        let teams = read_teams(root);
+        let teams = read_teams(root, file);
         let drain_limit_ms = root.number("drain_limit_ms", 1..=MAX_DRAIN_MS);
         if data_address.is_some() && data_address == control_address {
             root.contradict("control_address", "must differ from data_address");
@@ -181,14 +181,11 @@
     }
 }
 
-fn read_teams(root: &Section<'_>) -> Vec<Team> {
+fn read_teams(root: &Section<'_>, file: &Path) -> Vec<Team> {
     let mut teams: Vec<Team> = Vec::new();
     for section in root.optional_sections("teams") {
         let name = section.text::<ClusterName>("name", NAME);
-        let hash = section.text::<TokenHash>(
-            "token_hash",
-            "64 hexadecimal digits, the BLAKE3 hash of the token, are accepted",
-        );
+        let hash = read_token_hash(&section, file);
         let services: Vec<AnyName> = section.texts(
             "services",
             1..=MAX_TEAM_SERVICES,
@@ -217,6 +214,34 @@
     teams
 }
 
+/// Reads the hash of a token from the settings or from the file that they name.
+fn read_token_hash(section: &Section<'_>, file: &Path) -> Option<TokenHash> {
+    let accepted = "64 hexadecimal digits, the BLAKE3 hash of the token, are accepted";
+    let hash = section.optional_text::<TokenHash>("token_hash", accepted);
+    let path = section.optional_text::<PathBuf>("token_hash_file", "the path of a file");
+    match (section.has("token_hash"), path) {
+        (false, Some(path)) => {
+            let text = std::fs::read_to_string(beside(file, &path));
+            let hash = text.ok().and_then(|text| text.trim().parse().ok());
+            if hash.is_none() {
+                section.contradict(
+                    "token_hash_file",
+                    &format!("in a readable file, {accepted}"),
+                );
+            }
+            hash
+        }
+        (true, None) => hash,
+        _ => {
+            section.contradict(
+                "token_hash",
+                "either token_hash or token_hash_file is accepted",
+            );
+            None
+        }
+    }
+}
+
 fn team_services(section: &Section<'_>, names: Vec<AnyName>) -> Option<TeamServices> {
     if names.iter().any(|name| name.0 == "*") {
         if names.len() > 1 {
--- a/crates/configuration/src/key_file.rs
+++ b/crates/configuration/src/key_file.rs
@@ -235,7 +235,7 @@
 }
 
 /// Names `path` relative to the directory of the settings file.
-fn beside(file: &Path, path: &Path) -> PathBuf {
+pub(crate) fn beside(file: &Path, path: &Path) -> PathBuf {
     match file.parent() {
         Some(directory) => directory.join(path),
         None => path.to_owned(),
--- a/crates/configuration/src/section.rs
+++ b/crates/configuration/src/section.rs
@@ -193,6 +193,11 @@
         sections
     }
 
+    /// Returns whether the field `name` is present.
+    pub(crate) fn has(&self, name: &str) -> bool {
+        self.object.get(name).is_some()
+    }
+
     /// Reports a contradiction at the field `name`.
     pub(crate) fn contradict(&self, name: &str, accepted: &str) {
         let line = match self.object.get(name) {
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -139,7 +139,9 @@
     }
 }
 
-/// Checks the text of a settings file; key files are named relative to `file` and not looked at.
+/// Checks the text of a settings file; the files that it names are relative to `file`.
+///
+/// Files with token hashes are read, key files are not looked at.
 pub fn check(text: &str, file: &str) -> Result<Settings, Vec<SettingsProblem>> {
     let document = Document::parse(file, text).map_err(|problem| vec![problem])?;
     let findings = Findings::new(&document);
--- a/crates/configuration/tests/settings.rs
+++ b/crates/configuration/tests/settings.rs
@@ -268,6 +268,35 @@
     expect_that!(found.is_sorted_by_key(|it| it.line), eq(true));
 }
 
+// Guards against a team without a token, or with one that nobody gave it.
+#[gtest]
+fn a_token_hash_comes_from_exactly_one_place() {
+    let directory = Directory::new("token");
+    let hash = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+    directory.write("stock.hash", &format!("{hash}\n"), 0o600);
+    directory.write("empty.hash", "", 0o600);
+    let file = directory.0.join("balancer.jsonc").display().to_string();
+    let with = |field: &str| BALANCER.replace(&format!("\"token_hash\": \"{hash}\""), field);
+    let settings = check(&with(r#""token_hash_file": "stock.hash""#), &file);
+    let Ok(Settings::Balancer(settings)) = settings else {
+        panic!("expected settings, got {settings:?}");
+    };
+    expect_that!(settings.teams, eq(&balancer(BALANCER).teams));
+    for field in [
+        r#""token_hash_file": "empty.hash""#.to_owned(),
+        r#""token_hash_file": "missing.hash""#.to_owned(),
+        format!(r#""token_hash_file": "stock.hash", "token_hash": "{hash}""#),
+        String::new(),
+    ] {
+        let found = check(&with(&field), &file).unwrap_err();
+        expect_that!(
+            found[0].field,
+            starts_with("teams[0].token_hash"),
+            "{field}"
+        );
+    }
+}
+
 // Guards against files that are no settings at all.
 #[gtest]
 fn files_that_are_not_json_are_named_with_their_line() {
