Add the commands of operators

Operators need the administration API, checks of files and a development set of keys from the one binary. The tests drive the real binary.

--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -59,8 +59,6 @@
 pub struct OpenBody {
     /// Number of the result code.
     pub code: ResultCode,
-    /// Name of the result code.
-    pub name: String,
     /// Object that was to be changed.
     #[serde(flatten)]
     pub key: ObjectKey,
--- a/crates/admin/src/writes.rs
+++ b/crates/admin/src/writes.rs
@@ -110,7 +110,6 @@
             );
             let body = OpenBody {
                 code: ResultCode::OutcomeOpen,
-                name: ResultCode::OutcomeOpen.name().to_owned(),
                 key,
                 expected,
                 write_id,
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use googletest::prelude::*;
-use hawthorntide_admin::{Method as RouteMethod, Operation, ROUTES};
+use hawthorntide_admin::{Method as RouteMethod, OpenBody, Operation, ROUTES};
 use hawthorntide_types::ResultCode;
 use reqwest::Method;
 use serde_json::{Value, json};
@@ -163,12 +163,17 @@
     );
     expect_that!(s.get("/v1/profiles/day").send().await.0, eq(200));
     s.balancer.set_store(StoreState::LosesAnswers);
-    let (status, open) = update().send().await;
+    let response = update().respond().await;
+    let status = response.status().as_u16();
+    // Read as text, since a value would hide a field that is given twice.
+    let text = response.text().await.unwrap();
+    let open: Value = serde_json::from_str(&text).unwrap();
     expect_that!(
         (status, code(&open)),
         eq((202, number(ResultCode::OutcomeOpen)))
     );
-    let ask = open["ask"].as_str().unwrap().to_owned();
+    let typed: OpenBody = serde_json::from_str(&text).unwrap();
+    let ask = typed.ask;
     s.balancer.set_store(StoreState::Down);
     expect_that!(s.get(&ask).send().await.0, eq(202));
     s.balancer.set_store(StoreState::Up);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,19 +1,273 @@
 //! Command line.
 
-use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+use clap_complete::Shell;
+use hawthorntide_types::{ProfileName, ServiceName, Version};
+
+use crate::output::OutputFormat;
 
 /// Layer-4 load balancer: balancers, agents and their tools.
 #[derive(Debug, Parser)]
-#[command(version, arg_required_else_help = true)]
+#[command(version, arg_required_else_help = true, after_help = CODES_HELP)]
 pub(crate) struct Cli {
     /// What to do.
     #[command(subcommand)]
     pub(crate) command: Command,
+    /// Form of the output.
+    #[arg(long, global = true, value_enum, default_value_t)]
+    pub(crate) output: OutputFormat,
 }
 
 /// Commands.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Checks settings files, profiles and services.
+    Check(CheckArguments),
     /// Prints the table of result codes.
     Codes,
+    /// Prints the completions of a shell.
+    Completions(CompletionsArguments),
+    /// Begins the drain of a balancer.
+    Drain(DrainArguments),
+    /// Makes a set of keys, certificates and tokens for development.
+    Keys(KeysArguments),
+    /// Shows and changes profiles.
+    Profile(ProfileArguments),
+    /// Shows services and chooses their profiles.
+    Service(ServiceArguments),
+    /// Shows balancers, upstreams and versions in force.
+    Status(AdminArguments),
+    /// Shows the events that a balancer recorded.
+    Timeline(TimelineArguments),
+}
+
+const CODES_HELP: &str = "The exit code is a result code; `hawthorntide codes` lists them.";
+
+/// Arguments of `check`.
+#[derive(Args, Debug)]
+#[command(after_help = "Examples:
+  hawthorntide check balancer.jsonc
+  hawthorntide check profiles/*.jsonc services/*.jsonc")]
+pub(crate) struct CheckArguments {
+    /// Settings files, profiles and services, each JSON with comments.
+    #[arg(required = true)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
+/// Arguments of `completions`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide completions bash > /etc/bash_completion.d/hawthorntide")]
+pub(crate) struct CompletionsArguments {
+    /// Shell.
+    pub(crate) shell: Shell,
+}
+
+/// Arguments of `keys`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide keys keys --service stockd --service catalogue --team ops
+
+The files are for development: one authority signs the certificates of all services, and its key
+lies beside them. Files that exist are not replaced.")]
+pub(crate) struct KeysArguments {
+    /// Directory for the files; it is made if it does not exist.
+    pub(crate) directory: PathBuf,
+    /// Service that gets a certificate; may be given many times.
+    #[arg(long = "service", value_name = "NAME")]
+    pub(crate) services: Vec<ServiceName>,
+    /// Team that gets a token; may be given many times.
+    #[arg(long = "team", value_name = "NAME")]
+    pub(crate) teams: Vec<ServiceName>,
+}
+
+/// Balancer whose administration API is used.
+#[derive(Args, Clone, Debug)]
+pub(crate) struct AdminArguments {
+    /// Address of the administration API of a balancer.
+    #[arg(long, env = "HAWTHORNTIDE_ADDRESS", value_name = "IP:PORT")]
+    pub(crate) address: SocketAddr,
+    /// Token of the team.
+    #[arg(long, env = "HAWTHORNTIDE_TOKEN", hide_env_values = true)]
+    pub(crate) token: Option<String>,
+    /// File with the token of the team.
+    #[arg(long, env = "HAWTHORNTIDE_TOKEN_FILE", conflicts_with = "token")]
+    pub(crate) token_file: Option<PathBuf>,
+}
+
+/// Arguments of `drain`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide drain --address 127.0.0.1:4102 --wait 60")]
+pub(crate) struct DrainArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    /// Waits up to this many seconds until the process has ended.
+    #[arg(long, value_name = "SECONDS")]
+    pub(crate) wait: Option<u64>,
+}
+
+/// Arguments of `profile`.
+#[derive(Args, Debug)]
+pub(crate) struct ProfileArguments {
+    /// What to do.
+    #[command(subcommand)]
+    pub(crate) command: ProfileCommand,
+}
+
+/// Commands on profiles.
+#[derive(Debug, Subcommand)]
+pub(crate) enum ProfileCommand {
+    /// Lists the profiles with their versions.
+    List(AdminArguments),
+    /// Shows a profile.
+    Show(ProfileShowArguments),
+    /// Creates or replaces a profile from a file.
+    Set(ProfileSetArguments),
+    /// Changes single fields of a profile.
+    Edit(ProfileEditArguments),
+    /// Deletes a profile that no service follows.
+    Delete(ProfileDeleteArguments),
+}
+
+/// Arguments of `profile show`.
+#[derive(Args, Debug)]
+pub(crate) struct ProfileShowArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    /// Profile.
+    pub(crate) name: ProfileName,
+}
+
+/// How a change is made and waited for.
+#[derive(Args, Clone, Copy, Debug)]
+pub(crate) struct ChangeArguments {
+    /// Version on which the change is based; without it, the version that the balancer has now.
+    #[arg(long)]
+    pub(crate) version: Option<Version>,
+    /// Waits up to this many seconds until every balancer has the change in force.
+    #[arg(long, value_name = "SECONDS")]
+    pub(crate) wait: Option<u64>,
+}
+
+/// Arguments of `profile set`.
+#[derive(Args, Debug)]
+#[command(after_help = "Examples:
+  hawthorntide profile set day.jsonc --wait 10
+  hawthorntide profile set day.jsonc --version 7")]
+pub(crate) struct ProfileSetArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    #[command(flatten)]
+    pub(crate) change: ChangeArguments,
+    /// Profile, JSON with comments.
+    pub(crate) file: PathBuf,
+}
+
+/// Arguments of `profile edit`.
+#[derive(Args, Debug)]
+#[command(after_help = "Examples:
+  hawthorntide profile edit day target_delay_ms=30
+  hawthorntide profile edit day work.sheet.crowded.share_per_mille=150 --wait 10")]
+pub(crate) struct ProfileEditArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    #[command(flatten)]
+    pub(crate) change: ChangeArguments,
+    /// Profile.
+    pub(crate) name: ProfileName,
+    /// New values, each as FIELD=VALUE.
+    #[arg(required = true, value_name = "FIELD=VALUE")]
+    pub(crate) fields: Vec<String>,
+}
+
+/// Arguments of `profile delete`.
+#[derive(Args, Debug)]
+pub(crate) struct ProfileDeleteArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    #[command(flatten)]
+    pub(crate) change: ChangeArguments,
+    /// Profile.
+    pub(crate) name: ProfileName,
+}
+
+/// Arguments of `service`.
+#[derive(Args, Debug)]
+pub(crate) struct ServiceArguments {
+    /// What to do.
+    #[command(subcommand)]
+    pub(crate) command: ServiceCommand,
+}
+
+/// Commands on services.
+#[derive(Debug, Subcommand)]
+pub(crate) enum ServiceCommand {
+    /// Lists the services with their versions and profiles.
+    List(AdminArguments),
+    /// Shows a service.
+    Show(ServiceShowArguments),
+    /// Creates or replaces a service from a file.
+    Set(ServiceSetArguments),
+    /// Chooses the profile that a service follows.
+    Follow(ServiceFollowArguments),
+}
+
+/// Arguments of `service show`.
+#[derive(Args, Debug)]
+pub(crate) struct ServiceShowArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    /// Service.
+    pub(crate) name: ServiceName,
+}
+
+/// Arguments of `service set`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide service set stockd.jsonc --wait 10")]
+pub(crate) struct ServiceSetArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    #[command(flatten)]
+    pub(crate) change: ChangeArguments,
+    /// Service, JSON with comments.
+    pub(crate) file: PathBuf,
+}
+
+/// Arguments of `service follow`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide service follow stockd night --wait 10")]
+pub(crate) struct ServiceFollowArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    #[command(flatten)]
+    pub(crate) change: ChangeArguments,
+    /// Service.
+    pub(crate) service: ServiceName,
+    /// Profile to follow.
+    pub(crate) profile: ProfileName,
+}
+
+/// Arguments of `timeline`.
+#[derive(Args, Debug)]
+#[command(after_help = "Examples:
+  hawthorntide timeline --event drain_began
+  hawthorntide timeline --service stockd --limit 50 --output json")]
+pub(crate) struct TimelineArguments {
+    #[command(flatten)]
+    pub(crate) admin: AdminArguments,
+    /// Only events of this service.
+    #[arg(long)]
+    pub(crate) service: Option<ServiceName>,
+    /// Only events of this kind.
+    #[arg(long)]
+    pub(crate) event: Option<String>,
+    /// Newest events that are shown.
+    #[arg(long, default_value_t = 100)]
+    pub(crate) limit: usize,
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,18 @@
 //! Layer-4 load balancer: every process between callers and upstreams in one binary.
 
+mod admin_client;
+mod check;
 mod cli;
 mod codes;
+mod completions;
+mod drain;
+mod failure;
+mod keys;
+mod output;
+mod profile;
+mod service;
+mod status;
+mod timeline;
 
 use std::process::ExitCode;
 
@@ -9,17 +20,42 @@
 use hawthorntide_types::ResultCode;
 
 use crate::cli::{Cli, Command};
+use crate::failure::Failure;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    ExitCode::from(run(cli).number())
+    let code = run(cli).unwrap_or_else(|failure| {
+        output::print_failure(&failure);
+        failure.code
+    });
+    ExitCode::from(code.number())
 }
 
-fn run(cli: Cli) -> ResultCode {
+fn run(cli: Cli) -> Result<ResultCode, Failure> {
+    let format = cli.output;
     match cli.command {
-        Command::Codes => codes::run(),
+        Command::Check(arguments) => Ok(check::run(&arguments)),
+        Command::Codes => codes::run(format),
+        Command::Completions(arguments) => Ok(completions::run(&arguments)),
+        Command::Drain(arguments) => block_on(drain::run(arguments, format)),
+        Command::Keys(arguments) => keys::run(&arguments, format),
+        Command::Profile(arguments) => block_on(profile::run(arguments, format)),
+        Command::Service(arguments) => block_on(service::run(arguments, format)),
+        Command::Status(arguments) => block_on(status::run(arguments, format)),
+        Command::Timeline(arguments) => block_on(timeline::run(arguments, format)),
     }
 }
+
+/// Runs a command that waits for answers of other processes on one thread.
+fn block_on(
+    command: impl Future<Output = Result<ResultCode, Failure>>,
+) -> Result<ResultCode, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Failure::new(ResultCode::Failure, error))?;
+    runtime.block_on(command)
+}
--- /dev/null
+++ b/src/output.rs
@@ -0,0 +1,114 @@
+//! Output of the commands: tables for people, JSON for programs, colours only on a terminal.
+
+use std::fmt::Write as _;
+use std::io::{IsTerminal, Write};
+
+use clap::ValueEnum;
+use hawthorntide_types::ResultCode;
+use serde::Serialize;
+
+use crate::failure::Failure;
+
+const BOLD: &str = "\x1b[1m";
+const RED: &str = "\x1b[31m";
+const RESET: &str = "\x1b[0m";
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, ValueEnum)]
+pub(crate) enum OutputFormat {
+    /// Aligned columns.
+    #[default]
+    Table,
+    /// One JSON value.
+    Json,
+}
+
+/// Rows under one header.
+#[derive(Debug)]
+pub(crate) struct Table {
+    header: Vec<&'static str>,
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    pub(crate) fn new(header: &[&'static str]) -> Self {
+        Self {
+            header: header.to_vec(),
+            rows: Vec::new(),
+        }
+    }
+
+    pub(crate) fn row(&mut self, cells: &[&dyn ToString]) {
+        self.rows
+            .push(cells.iter().map(|cell| cell.to_string()).collect());
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let mut widths: Vec<usize> = self.header.iter().map(|cell| cell.len()).collect();
+        for row in &self.rows {
+            for (width, cell) in widths.iter_mut().zip(row) {
+                *width = (*width).max(cell.chars().count());
+            }
+        }
+        widths
+    }
+
+    /// Prints the table; the last column is not padded.
+    pub(crate) fn print(&self) -> Result<(), Failure> {
+        let widths = self.widths();
+        let is_terminal = std::io::stdout().is_terminal() && wants_colour();
+        let header: Vec<String> = self.header.iter().map(|&cell| cell.to_owned()).collect();
+        let header = line(&header, &widths);
+        if is_terminal {
+            print_text(&format!("{BOLD}{header}{RESET}"))?;
+        } else {
+            print_text(&header)?;
+        }
+        for row in &self.rows {
+            print_text(&line(row, &widths))?;
+        }
+        Ok(())
+    }
+}
+
+/// Prints one line; a reader that has gone, such as `head`, is no failure.
+pub(crate) fn print_text(text: &str) -> Result<(), Failure> {
+    match writeln!(std::io::stdout(), "{text}") {
+        Err(error) if error.kind() != std::io::ErrorKind::BrokenPipe => {
+            Err(Failure::new(ResultCode::Failure, error))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Prints a value as JSON.
+pub(crate) fn print_json(value: &impl Serialize) -> Result<(), Failure> {
+    let text = serde_json::to_string_pretty(value)
+        .map_err(|error| Failure::new(ResultCode::Failure, error))?;
+    print_text(&text)
+}
+
+/// Prints a failure on standard error.
+pub(crate) fn print_failure(failure: &Failure) {
+    if std::io::stderr().is_terminal() && wants_colour() {
+        eprintln!("{RED}hawthorntide:{RESET} {failure}");
+    } else {
+        eprintln!("hawthorntide: {failure}");
+    }
+}
+
+fn wants_colour() -> bool {
+    std::env::var_os("NO_COLOR").is_none_or(|value| value.is_empty())
+}
+
+fn line(cells: &[String], widths: &[usize]) -> String {
+    let mut line = String::new();
+    for (index, (cell, &width)) in cells.iter().zip(widths).enumerate() {
+        if index + 1 == cells.len() {
+            line.push_str(cell);
+        } else {
+            let _ = write!(line, "{cell:<width$}  ");
+        }
+    }
+    line.trim_end().to_owned()
+}
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,349 @@
+//! Guards the commands of the real binary: output, files and exit codes.
+
+#[path = "../crates/admin/tests/support/mod.rs"]
+mod support;
+
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use googletest::prelude::*;
+use hawthorntide_types::ResultCode;
+use serde_json::{Value, json};
+
+use crate::support::{PROFILE, Setup, StoreState, setup};
+
+/// What one run of the binary gave.
+#[derive(Debug)]
+struct Run {
+    code: u8,
+    stdout: String,
+    stderr: String,
+}
+
+struct Directory(PathBuf);
+
+impl Directory {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("command-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.0.join(name).display().to_string()
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn run_with(arguments: &[&str], variables: &[(&str, String)]) -> Run {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hawthorntide"));
+    command.args(arguments).env_clear();
+    command.envs(variables.iter().map(|(name, value)| (name, value)));
+    let output = command.output().unwrap();
+    Run {
+        code: output.status.code().unwrap() as u8,
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+fn run(arguments: &[&str]) -> Run {
+    run_with(arguments, &[])
+}
+
+/// Runs a command against the API, without blocking the runtime that serves it.
+async fn admin(s: &Setup, arguments: &[&str]) -> Run {
+    admin_as(s, "token-ops", arguments).await
+}
+
+async fn admin_as(s: &Setup, token: &str, arguments: &[&str]) -> Run {
+    let variables = [
+        ("HAWTHORNTIDE_ADDRESS", s.server.address().to_string()),
+        ("HAWTHORNTIDE_TOKEN", token.to_owned()),
+    ];
+    let arguments: Vec<String> = arguments.iter().map(|&it| it.to_owned()).collect();
+    let run = move || {
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        run_with(&arguments, &variables)
+    };
+    tokio::task::spawn_blocking(run).await.unwrap()
+}
+
+fn code(code: ResultCode) -> u8 {
+    code.number()
+}
+
+// Guards against a table that misses a code, and a page that differs from it.
+#[gtest]
+fn codes_are_printed_in_both_forms() {
+    let table = run(&["codes"]);
+    expect_that!(table.code, eq(0));
+    expect_that!(table.stdout.lines().count(), eq(1 + ResultCode::ALL.len()));
+    let json: Value = serde_json::from_str(&run(&["codes", "--output", "json"]).stdout).unwrap();
+    for (row, code) in json.as_array().unwrap().iter().zip(ResultCode::ALL) {
+        expect_that!(row["code"], eq(&json!(code.number())));
+        expect_that!(row["name"], eq(&json!(code.name())));
+    }
+}
+
+// Guards against a usage error that looks like another failure.
+#[gtest]
+fn wrong_command_lines_have_the_usage_code() {
+    for arguments in [
+        &["fly"][..],
+        &["check"],
+        &["profile", "show", "DAY"],
+        &["status", "--address", "nowhere"],
+        &["status"],
+    ] {
+        expect_that!(
+            run(arguments).code,
+            eq(code(ResultCode::Usage)),
+            "{arguments:?}"
+        );
+    }
+}
+
+// Guards against a command that nobody can learn from its help.
+#[gtest]
+fn help_shows_every_command_and_examples() {
+    let help = run(&["--help"]).stdout;
+    for command in [
+        "check",
+        "codes",
+        "completions",
+        "drain",
+        "keys",
+        "profile",
+        "service",
+        "status",
+        "timeline",
+    ] {
+        expect_that!(help, contains_substring(format!("\n  {command} ")));
+        expect_that!(run(&[command, "--help"]).code, eq(0));
+    }
+    for arguments in [
+        &["profile", "set"][..],
+        &["profile", "edit"],
+        &["service", "follow"],
+        &["keys"],
+        &["drain"],
+        &["timeline"],
+    ] {
+        let arguments = [arguments, &["--help"]].concat();
+        expect_that!(run(&arguments).stdout, contains_substring("Example"));
+    }
+    for shell in ["bash", "zsh", "fish", "elvish", "powershell"] {
+        let completions = run(&["completions", shell]);
+        expect_that!(completions.stdout, contains_substring("timeline"));
+    }
+}
+
+fn balancer_settings(keys: &str) -> String {
+    format!(
+        r#"{{
+  "role": "balancer", "cluster": "kerval", "failure_domain": "bzh-rns", "region": "bzh",
+  "data_address": "127.0.0.1:4100", "control_address": "127.0.0.1:4101",
+  "admin_address": "127.0.0.1:4102", "ingress": "socket", "store_address": "127.0.0.1:4001",
+  "cluster_key_file": "{keys}/cluster.key",
+  "connection_id_key_files": ["{keys}/connection-id-1.json"],
+  "teams": [{{ "name": "ops", "token_hash_file": "{keys}/ops.token-hash", "services": ["*"] }}],
+  "drain_limit_ms": 60000
+}}"#
+    )
+}
+
+// Guards against secrets that other users can read, and against keys that a second run replaces.
+#[gtest]
+fn keys_are_private_complete_and_never_replaced() {
+    let directory = Directory::new("keys");
+    let keys = directory.path("keys");
+    let arguments = ["keys", &keys, "--service", "stockd", "--team", "ops"];
+    let made = run(&arguments);
+    expect_that!(made.code, eq(0), "{made:?}");
+    let files: Vec<&str> = made.stdout.lines().collect();
+    expect_that!(files.len(), eq(8));
+    for file in &files {
+        let mode = std::fs::metadata(file).unwrap().permissions().mode() & 0o777;
+        let is_public = Path::new(file)
+            .extension()
+            .is_some_and(|it| it == "crt" || it == "token-hash");
+        expect_that!(mode, eq(if is_public { 0o644 } else { 0o600 }), "{file}");
+        let text = std::fs::read_to_string(file).unwrap();
+        expect_that!(made.stdout, not(contains_substring(text.trim())));
+    }
+    let before = std::fs::read(files[0]).unwrap();
+    let again = run(&arguments);
+    expect_that!(again.code, eq(code(ResultCode::Failure)));
+    expect_that!(std::fs::read(files[0]).unwrap(), eq(&before));
+    let settings = directory.write("balancer.jsonc", &balancer_settings("keys"));
+    let checked = run(&["check", &settings]);
+    expect_that!(checked.code, eq(0), "{checked:?}");
+}
+
+// Guards against a start with broken settings, and a problem without file, line and field.
+#[gtest]
+fn check_names_every_problem_and_its_code() {
+    let directory = Directory::new("check");
+    run(&["keys", &directory.path("keys"), "--team", "ops"]);
+    let good = balancer_settings("keys");
+    let bad = directory.write(
+        "bad.jsonc",
+        &good.replace("60000", "0").replace("kerval", "K"),
+    );
+    let found = run(&["check", &bad]);
+    expect_that!(found.code, eq(code(ResultCode::SettingsInvalid)));
+    let place = format!("{bad}:8: drain_limit_ms: 1 to 86400000 is accepted");
+    expect_that!(found.stderr, contains_substring(place));
+    expect_that!(found.stderr, contains_substring(":2: cluster: "));
+    let unreadable = directory.write("unreadable.jsonc", "{");
+    let found = run(&["check", &unreadable]);
+    expect_that!(found.code, eq(code(ResultCode::SettingsUnreadable)));
+    let exposed = directory.write("exposed.jsonc", &good);
+    let key = directory.path("keys/cluster.key");
+    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o644)).unwrap();
+    let found = run(&["check", &exposed]);
+    expect_that!(found.code, eq(code(ResultCode::KeyFileExposed)));
+    let secret = std::fs::read_to_string(&key).unwrap();
+    expect_that!(found.stderr, not(contains_substring(secret.trim())));
+    let profile = directory.write("day.jsonc", PROFILE);
+    let service = r#"{ "name": "a", "addresses": ["10.0.0.1:443"], "profile": "day" }"#;
+    let service = directory.write("a.jsonc", service);
+    expect_that!(run(&["check", &profile, &service]).code, eq(0));
+}
+
+// Guards against a change that is made but not shown, or shown but not made.
+#[gtest]
+#[tokio::test]
+async fn profiles_are_set_edited_shown_and_deleted() {
+    let s = setup().await;
+    let directory = Directory::new("profile");
+    let file = directory.write("day.jsonc", PROFILE);
+    let set = admin(&s, &["profile", "set", &file]).await;
+    expect_that!(set.code, eq(0), "{set:?}");
+    expect_that!(set.stdout, eq("profile/day has version 1\n"));
+    let field = "work.sheet.crowded.share_per_mille=150";
+    let edit = admin(&s, &["profile", "edit", "day", field, "target_delay_ms=30"]).await;
+    expect_that!(edit.code, eq(0), "{edit:?}");
+    let shown = admin(&s, &["profile", "show", "day", "--output", "json"]).await;
+    let shown: Value = serde_json::from_str(&shown.stdout).unwrap();
+    expect_that!(shown["profile"]["target_delay_ms"], eq(&json!(30)));
+    expect_that!(
+        shown["profile"]["work"][1]["crowded"]["share_per_mille"],
+        eq(&json!(150))
+    );
+    let table = admin(&s, &["profile", "show", "day"]).await.stdout;
+    expect_that!(table, contains_substring("version 2, target delay 30 ms"));
+    let stale = admin(&s, &["profile", "set", &file, "--version", "1"]).await;
+    expect_that!(stale.code, eq(code(ResultCode::Conflict)));
+    expect_that!(stale.stderr, contains_substring("Yours is 1, theirs is 2."));
+    for field in [
+        "target_delay_ms=0",
+        "work.sheet.calm=1",
+        "color=red",
+        "target_delay_ms",
+    ] {
+        let wrong = admin(&s, &["profile", "edit", "day", field]).await;
+        let codes = [code(ResultCode::SettingsInvalid), code(ResultCode::Usage)];
+        expect_that!(codes, contains(eq(wrong.code)), "{wrong:?}");
+    }
+    expect_that!(admin(&s, &["profile", "delete", "day"]).await.code, eq(0));
+    let gone = admin(&s, &["profile", "show", "day"]).await;
+    expect_that!(gone.code, eq(code(ResultCode::NotFound)));
+}
+
+// Guards against a wait that ends well although a balancer has not confirmed.
+#[gtest]
+#[tokio::test]
+async fn a_wait_names_who_has_not_confirmed() {
+    let s = setup().await;
+    let directory = Directory::new("wait");
+    let file = directory.write("day.jsonc", PROFILE);
+    let set = admin(&s, &["profile", "set", &file, "--wait", "1"]).await;
+    expect_that!(set.code, eq(code(ResultCode::NotConfirmed)));
+    expect_that!(
+        set.stderr,
+        contains_substring("not confirmed by 127.0.0.1:2")
+    );
+}
+
+// Guards against an outage or a lost answer that looks like success.
+#[gtest]
+#[tokio::test]
+async fn outages_and_lost_answers_have_their_codes() {
+    let s = setup().await.with_services();
+    let directory = Directory::new("outage");
+    let file = directory.write("day.jsonc", PROFILE);
+    s.balancer.set_store(StoreState::LosesAnswers);
+    let found_out = admin(&s, &["profile", "set", &file]).await;
+    expect_that!(found_out.code, eq(0), "{found_out:?}");
+    s.balancer.set_store(StoreState::Down);
+    let refused = admin(&s, &["profile", "set", &file]).await;
+    expect_that!(refused.code, eq(code(ResultCode::NotAccepted)));
+    expect_that!(admin(&s, &["profile", "list"]).await.code, eq(0));
+    let nobody = run(&["status", "--address", "127.0.0.1:1"]);
+    expect_that!(nobody.code, eq(code(ResultCode::Unreachable)));
+    let unknown = admin_as(&s, "token-unknown", &["status"]).await;
+    expect_that!(unknown.code, eq(code(ResultCode::Unauthenticated)));
+    let foreign = ["service", "follow", "catalogue", "day"];
+    let foreign = admin_as(&s, "token-stock", &foreign).await;
+    expect_that!(foreign.code, eq(code(ResultCode::Forbidden)));
+}
+
+// Guards against a service that cannot be seen, made or moved to another profile.
+#[gtest]
+#[tokio::test]
+async fn services_are_set_listed_and_follow_profiles() {
+    let s = setup().await.with_services();
+    let directory = Directory::new("service");
+    let night = directory.write("night.jsonc", &PROFILE.replace("\"day\"", "\"night\""));
+    expect_that!(admin(&s, &["profile", "set", &night]).await.code, eq(0));
+    let follow = admin(&s, &["service", "follow", "stockd", "night"]).await;
+    expect_that!(follow.code, eq(0), "{follow:?}");
+    let service = r#"{ "name": "new", "addresses": ["10.0.0.9:443"], "profile": "day" }"#;
+    let file = directory.write("new.jsonc", service);
+    expect_that!(admin(&s, &["service", "set", &file]).await.code, eq(0));
+    let list = admin(&s, &["service", "list"]).await.stdout;
+    expect_that!(list, contains_regex("stockd +5 +night"));
+    expect_that!(list, contains_regex("new +6 +day +quic +10.0.0.9:443"));
+    let one = admin(&s, &["service", "show", "new", "--output", "json"]).await;
+    let one: Value = serde_json::from_str(&one.stdout).unwrap();
+    expect_that!(one["version"], eq(&json!(6)));
+    let missing = admin(&s, &["service", "follow", "stockd", "noon"]).await;
+    expect_that!(missing.code, eq(code(ResultCode::InvalidField)));
+    let followed = admin(&s, &["profile", "delete", "night"]).await;
+    expect_that!(followed.code, eq(code(ResultCode::ProfileFollowed)));
+}
+
+// Guards against a state that operators cannot see, and against colours in files and pipes.
+#[gtest]
+#[tokio::test]
+async fn status_timeline_and_drain_are_shown_without_colours() {
+    let s = setup().await.with_services();
+    let status = admin(&s, &["status"]).await;
+    expect_that!(status.stdout, contains_regex("profile/day +1"));
+    let events = admin(&s, &["timeline", "--event", "drain_began"]).await;
+    expect_that!(events.stdout, contains_substring("drain_began"));
+    expect_that!(events.stdout.lines().count(), eq(2));
+    let wrong = admin(&s, &["timeline", "--event", "party"]).await;
+    expect_that!(wrong.code, eq(code(ResultCode::InvalidField)));
+    let drain = admin(&s, &["drain"]).await;
+    expect_that!(drain.stdout, ends_with("is draining\n"));
+    let still = admin(&s, &["drain", "--wait", "1"]).await;
+    expect_that!(still.code, eq(code(ResultCode::NotConfirmed)));
+    for run in [status, events, wrong, drain] {
+        expect_that!(run.stdout + &run.stderr, not(contains_substring("\x1b")));
+    }
+}
