Let the administration API wait for the replica and the status

A balancer keeps its replica and view in the task of its control plane, which answers by message; a synchronous trait would need a second copy of both.

--- a/crates/admin/src/access.rs
+++ b/crates/admin/src/access.rs
@@ -46,9 +46,9 @@
 }
 
 /// Reads the profiles and services of the replica.
-pub(crate) fn catalog(operations: &dyn Operations) -> Catalog {
+pub(crate) async fn catalog(operations: &dyn Operations) -> Catalog {
     let mut catalog = Catalog::default();
-    for object in operations.objects() {
+    for object in operations.objects().await {
         if object.is_deleted {
             continue;
         }
--- a/crates/admin/src/operations.rs
+++ b/crates/admin/src/operations.rs
@@ -110,11 +110,11 @@
 
 /// What a balancer provides; implemented by its edge and by tests.
 pub trait Operations: Send + Sync + 'static {
-    /// Returns the object from the replica; a tombstone when it was deleted.
-    fn object(&self, key: &ObjectKey) -> Option<StoredObject>;
+    /// Returns the object from the replica; a deleted one may be a tombstone or absent.
+    fn object(&self, key: ObjectKey) -> OperationsFuture<'_, Option<StoredObject>>;
 
     /// Returns all profiles and services of the replica.
-    fn objects(&self) -> Vec<StoredObject>;
+    fn objects(&self) -> OperationsFuture<'_, Vec<StoredObject>>;
 
     /// Writes through the store and takes an accepted version into the replica.
     fn write(&self, change: Change) -> OperationsFuture<'_, WriteOutcome>;
@@ -136,7 +136,7 @@
     ) -> OperationsFuture<'_, Confirmation>;
 
     /// Returns the state of the balancer and its view.
-    fn status(&self) -> StatusReport;
+    fn status(&self) -> OperationsFuture<'_, StatusReport>;
 
     /// Returns the phase of the balancer.
     fn phase(&self) -> Phase;
--- a/crates/admin/src/process.rs
+++ b/crates/admin/src/process.rs
@@ -32,8 +32,8 @@
     Answer::text(render_metrics())
 }
 
-pub(crate) fn status(request: &Request) -> Answer {
-    Answer::ok(&request.edge.operations.status())
+pub(crate) async fn status(request: &Request) -> Answer {
+    Answer::ok(&request.edge.operations.status().await)
 }
 
 pub(crate) fn drain(request: &Request, team: &Team) -> Result<Answer, Refusal> {
--- a/crates/admin/src/profiles.rs
+++ b/crates/admin/src/profiles.rs
@@ -10,8 +10,8 @@
 use crate::request::{Request, key_of, parse};
 use crate::writes::write;
 
-pub(crate) fn list(request: &Request) -> Answer {
-    let objects = request.edge.operations.objects().into_iter();
+pub(crate) async fn list(request: &Request) -> Answer {
+    let objects = request.edge.operations.objects().await.into_iter();
     let profiles: Vec<VersionedProfile> = objects
         .filter(|object| object.key.kind == ObjectKind::Profile && !object.is_deleted)
         .filter_map(|object| {
@@ -23,9 +23,9 @@
     Answer::ok(&profiles)
 }
 
-pub(crate) fn read(request: &Request) -> Result<Answer, Refusal> {
+pub(crate) async fn read(request: &Request) -> Result<Answer, Refusal> {
     let key = request.key(ObjectKind::Profile)?;
-    let object = request.edge.operations.object(&key);
+    let object = request.edge.operations.object(key).await;
     let object = object.filter(|object| !object.is_deleted);
     let object = object.ok_or_else(|| Refusal::new(ResultCode::NotFound))?;
     let version = object.version;
@@ -51,11 +51,11 @@
     let expected = request.if_match()?;
     let key = request.key(ObjectKind::Profile)?;
     let name: ProfileName = parse("name", Some(&key.name), "a name is accepted")?;
-    let object = request.edge.operations.object(&key);
+    let object = request.edge.operations.object(key.clone()).await;
     if object.is_none_or(|object| object.is_deleted) {
         return Err(Refusal::new(ResultCode::NotFound));
     }
-    let catalog = catalog(&*request.edge.operations);
+    let catalog = catalog(&*request.edge.operations).await;
     refuse_followed(&name, &catalog)?;
     write(request, team, key, None, expected).await
 }
@@ -83,7 +83,7 @@
     profile: Profile,
     expected: Version,
 ) -> Result<Answer, Refusal> {
-    let catalog = catalog(&*request.edge.operations);
+    let catalog = catalog(&*request.edge.operations).await;
     require_profile(team, &profile.name, &catalog)?;
     let key = key_of(ObjectKind::Profile, profile.name.as_str())?;
     let value = serde_json::to_value(&profile).map_err(|_| Refusal::new(ResultCode::Failure))?;
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -200,18 +200,18 @@
         Operation::Health | Operation::Ready | Operation::Metrics => {
             Ok(dispatch_public(operation, &request))
         }
-        Operation::ListProfiles => Ok(profiles::list(&request)),
-        Operation::ReadProfile => profiles::read(&request),
+        Operation::ListProfiles => Ok(profiles::list(&request).await),
+        Operation::ReadProfile => profiles::read(&request).await,
         Operation::CreateProfile => profiles::create(&mut request, team).await,
         Operation::UpdateProfile => profiles::update(&mut request, team).await,
         Operation::DeleteProfile => profiles::delete(&request, team).await,
-        Operation::ListServices => Ok(services::list(&request)),
-        Operation::ReadService => services::read(&request),
+        Operation::ListServices => Ok(services::list(&request).await),
+        Operation::ReadService => services::read(&request).await,
         Operation::SetService => services::set(&mut request, team).await,
         Operation::FollowProfile => services::follow(&mut request, team).await,
         Operation::ReadWrite => writes::read(&request).await,
         Operation::Confirm => writes::confirm(&request).await,
-        Operation::Status => Ok(process::status(&request)),
+        Operation::Status => Ok(process::status(&request).await),
         Operation::Drain => process::drain(&request, team),
         Operation::Timeline => process::timeline(&request),
         Operation::ReadLogLevel => Ok(process::log_level(&request)),
--- a/crates/admin/src/services.rs
+++ b/crates/admin/src/services.rs
@@ -10,8 +10,8 @@
 use crate::request::{Request, key_of};
 use crate::writes::write;
 
-pub(crate) fn list(request: &Request) -> Answer {
-    let objects = request.edge.operations.objects().into_iter();
+pub(crate) async fn list(request: &Request) -> Answer {
+    let objects = request.edge.operations.objects().await.into_iter();
     let services: Vec<VersionedService> = objects
         .filter(|object| object.key.kind == ObjectKind::Service && !object.is_deleted)
         .filter_map(|object| {
@@ -23,8 +23,8 @@
     Answer::ok(&services)
 }
 
-pub(crate) fn read(request: &Request) -> Result<Answer, Refusal> {
-    let found = find(request)?;
+pub(crate) async fn read(request: &Request) -> Result<Answer, Refusal> {
+    let found = find(request).await?;
     let version = found.version;
     Ok(Answer::ok(&found).version(version))
 }
@@ -34,7 +34,7 @@
     require_operator(team)?;
     let expected = request.if_match()?;
     let text = request.text().await?;
-    let catalog = catalog(&*request.edge.operations);
+    let catalog = catalog(&*request.edge.operations).await;
     let service = check_service_file(&text, "body", Some(&catalog)).map_err(Refusal::problems)?;
     if service.name.as_str() != request.names.name {
         return Err(Refusal::field("name", "must be the name in the path"));
@@ -45,7 +45,7 @@
 /// Chooses the profile that a service follows.
 pub(crate) async fn follow(request: &mut Request, team: &Team) -> Result<Answer, Refusal> {
     let expected = request.if_match()?;
-    let found = find(request)?;
+    let found = find(request).await?;
     require_service(team, &found.service.name)?;
     let choice: ProfileChoice = request.json("profile").await?;
     if expected != found.version {
@@ -55,16 +55,16 @@
         profile: choice.profile,
         ..found.service
     };
-    let catalog = catalog(&*request.edge.operations);
+    let catalog = catalog(&*request.edge.operations).await;
     if let Some(problem) = check_service(&service, &catalog).first() {
         return Err(Refusal::field(&problem.field, &problem.reason));
     }
     store(request, team, &service, expected).await
 }
 
-fn find(request: &Request) -> Result<VersionedService, Refusal> {
+async fn find(request: &Request) -> Result<VersionedService, Refusal> {
     let key = request.key(ObjectKind::Service)?;
-    let object = request.edge.operations.object(&key);
+    let object = request.edge.operations.object(key).await;
     let object = object.filter(|object| !object.is_deleted);
     let object = object.ok_or_else(|| Refusal::new(ResultCode::NotFound))?;
     let version = object.version;
--- a/crates/admin/src/writes.rs
+++ b/crates/admin/src/writes.rs
@@ -21,7 +21,7 @@
     value: Option<serde_json::Value>,
     expected: Version,
 ) -> Result<Answer, Refusal> {
-    let known = request.edge.operations.object(&key);
+    let known = request.edge.operations.object(key.clone()).await;
     if let Some(known) = known {
         let is_free = known.is_deleted && expected == Version::NONE;
         if known.version > expected && !is_free {
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -44,6 +44,11 @@
         self.0.lock().unwrap().store = store;
     }
 
+    fn find(&self, key: &ObjectKey) -> Option<StoredObject> {
+        let memory = self.0.lock().unwrap();
+        memory.objects.iter().find(|it| it.key == *key).cloned()
+    }
+
     pub fn writes(&self) -> usize {
         self.0.lock().unwrap().writes
     }
@@ -84,13 +89,13 @@
 }
 
 impl Operations for FakeBalancer {
-    fn object(&self, key: &ObjectKey) -> Option<StoredObject> {
-        let memory = self.0.lock().unwrap();
-        memory.objects.iter().find(|it| it.key == *key).cloned()
+    fn object(&self, key: ObjectKey) -> OperationsFuture<'_, Option<StoredObject>> {
+        Box::pin(std::future::ready(self.find(&key)))
     }
 
-    fn objects(&self) -> Vec<StoredObject> {
-        self.0.lock().unwrap().objects.clone()
+    fn objects(&self) -> OperationsFuture<'_, Vec<StoredObject>> {
+        let objects = self.0.lock().unwrap().objects.clone();
+        Box::pin(std::future::ready(objects))
     }
 
     fn write(&self, change: Change) -> OperationsFuture<'_, WriteOutcome> {
@@ -113,7 +118,7 @@
         _expected: Version,
         write_id: WriteId,
     ) -> OperationsFuture<'_, WriteOutcome> {
-        let object = self.object(&key);
+        let object = self.find(&key);
         let is_down = self.0.lock().unwrap().store == StoreState::Down;
         let outcome = match object {
             _ if is_down => WriteOutcome::Open { write_id },
@@ -138,10 +143,10 @@
         Box::pin(std::future::ready(confirmation))
     }
 
-    fn status(&self) -> StatusReport {
+    fn status(&self) -> OperationsFuture<'_, StatusReport> {
         let memory = self.0.lock().unwrap();
         let objects = memory.objects.iter();
-        StatusReport {
+        let report = StatusReport {
             node: NodeId(7),
             phase: memory.phase,
             balancers: Vec::new(),
@@ -153,7 +158,8 @@
                 })
                 .collect(),
             alarms: Vec::new(),
-        }
+        };
+        Box::pin(std::future::ready(report))
     }
 
     fn phase(&self) -> Phase {
