Run a deployment with events, callers and a report

The command trial starts the roles of a deployment file over the emulated fabric, store and upstreams, opens the callers' flows, injects events and reports from the records of upstreams and callers. The caller library gains a flow that is opened again when its connection is lost, sends an interrupted request again only to the agent that may have run it, and moves away from a draining agent. The silence watch no longer keeps an unused connection open.

--- a/crates/client/src/call.rs
+++ b/crates/client/src/call.rs
@@ -4,7 +4,7 @@
 use hawthorntide_wire::{call, encode_frame};
 
 use crate::answer::{Answer, AnswerReader, Part};
-use crate::session::Caller;
+use crate::session::{Caller, WatchGuard};
 
 /// Bytes that are read from the connection at a time.
 const READ_BYTES: usize = 64 * 1024;
@@ -30,6 +30,7 @@
     stream: quinn::RecvStream,
     /// Keeps the sending side open, so that dropping the stream cancels it.
     _request: quinn::SendStream,
+    _watch: WatchGuard,
 }
 
 impl Caller {
@@ -63,6 +64,7 @@
             reader: AnswerReader::default(),
             stream,
             _request: request,
+            _watch: self.watch.clone(),
         })
     }
 
@@ -78,6 +80,7 @@
             reader: AnswerReader::default(),
             stream,
             _request: request,
+            _watch: self.watch.clone(),
         };
         let mut data = Vec::new();
         loop {
--- /dev/null
+++ b/crates/client/src/flow.rs
@@ -0,0 +1,182 @@
+//! Flow to a service that is opened again when its connection is lost.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorntide_types::{DurationMs, ResultCode};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout};
+
+use crate::CallError;
+use crate::answer::Answer;
+use crate::call::{Call, CallStream};
+use crate::session::{Caller, Resume};
+use crate::socket::CallerSocket;
+
+/// Longest time to reach the agent of an earlier session; a gone agent does not respond.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time to open a connection to any agent.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Flow to a service. Requests go over its present connection; a lost connection is replaced by one
+/// to the same agent, or to any agent when that one is gone.
+#[derive(Debug)]
+pub struct Flow {
+    socket: CallerSocket,
+    service: String,
+    address: SocketAddr,
+    current: watch::Sender<Arc<Caller>>,
+    /// Held while a lost connection is replaced, so that this happens once.
+    reopening: tokio::sync::Mutex<()>,
+}
+
+impl Flow {
+    /// Opens a flow to `service` at `address`.
+    pub async fn open(
+        socket: CallerSocket,
+        service: impl Into<String>,
+        address: SocketAddr,
+    ) -> Result<Self, CallError> {
+        let service = service.into();
+        let caller = connect(&socket, &service, address).await?;
+        Ok(Self {
+            socket,
+            service,
+            address,
+            current: watch::Sender::new(Arc::new(caller)),
+            reopening: tokio::sync::Mutex::new(()),
+        })
+    }
+
+    /// Returns the present connection.
+    pub fn caller(&self) -> Arc<Caller> {
+        Arc::clone(&self.current.borrow())
+    }
+
+    /// Sends a request and waits for its whole answer. When the connection is lost, the request is
+    /// sent again under its sequence, but only to the agent that may have run it.
+    pub async fn call(&self, call: &Call) -> Answer {
+        let end = Instant::now() + Duration::from(call.deadline_ms);
+        let caller = self.caller();
+        let sequence = caller.next_sequence();
+        let answer = caller.call_as(sequence, call, false).await;
+        if answer.code == ResultCode::NotRunDraining {
+            return self.call_elsewhere(&caller, call, end, answer).await;
+        }
+        if !is_lost(&caller, answer.code) {
+            return answer;
+        }
+        let Ok(again) = self.reopen(&caller).await else {
+            return answer;
+        };
+        match with_time_left(call, end) {
+            Some(call) if again.continues(&caller) => again.call_as(sequence, &call, true).await,
+            _ => answer,
+        }
+    }
+
+    /// Moves new work away from a draining agent and sends a request that it refused once more. The
+    /// agent has fenced the request, so that this is safe for any kind of work.
+    async fn call_elsewhere(
+        &self,
+        draining: &Arc<Caller>,
+        call: &Call,
+        end: Instant,
+        refusal: Answer,
+    ) -> Answer {
+        let Ok(caller) = self.replace(draining, None).await else {
+            return refusal;
+        };
+        let Some(call) = with_time_left(call, end) else {
+            return refusal;
+        };
+        caller.call_as(caller.next_sequence(), &call, false).await
+    }
+
+    /// Opens a stream of messages on the present connection.
+    pub async fn open_stream(&self, payload: Vec<u8>) -> Result<CallStream, ResultCode> {
+        self.caller().open_stream(payload).await
+    }
+
+    /// Replaces the connection `lost`, unless that has happened already, and returns the present one.
+    pub async fn reopen(&self, lost: &Arc<Caller>) -> Result<Arc<Caller>, CallError> {
+        self.replace(lost, Some(lost.resume())).await
+    }
+
+    /// Replaces the connection `old` by one to the agent of `resume` or to any agent. Streams on `old`
+    /// stay open.
+    async fn replace(
+        &self,
+        old: &Arc<Caller>,
+        resume: Option<Resume>,
+    ) -> Result<Arc<Caller>, CallError> {
+        let _guard = self.reopening.lock().await;
+        let current = self.caller();
+        if !Arc::ptr_eq(&current, old) {
+            return Ok(current);
+        }
+        let caller = match self.resume(resume).await {
+            Some(caller) => caller,
+            None => connect(&self.socket, &self.service, self.address).await?,
+        };
+        let caller = Arc::new(caller);
+        self.current.send_replace(Arc::clone(&caller));
+        Ok(caller)
+    }
+
+    async fn resume(&self, resume: Option<Resume>) -> Option<Caller> {
+        let connecting = self
+            .socket
+            .connect(&self.service, self.address, Some(resume?));
+        timeout(RESUME_TIMEOUT, connecting).await.ok()?.ok()
+    }
+
+    /// Waits until the present connection is lost and returns it.
+    pub async fn lost(&self) -> Arc<Caller> {
+        let mut present = self.current.subscribe();
+        loop {
+            let caller = Arc::clone(&present.borrow_and_update());
+            tokio::select! {
+                _ = caller.closed() => return caller,
+                _ = present.changed() => {},
+            }
+        }
+    }
+
+    /// Closes the present connection.
+    pub fn close(&self) {
+        self.caller().close();
+    }
+}
+
+/// Returns the call with the time that is left, or `None` when its deadline has passed.
+fn with_time_left(call: &Call, end: Instant) -> Option<Call> {
+    if call.deadline_ms.get() == 0 {
+        return Some(call.clone());
+    }
+    let left_ms = end.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let deadline_ms = DurationMs(left_ms);
+    (left_ms > 0).then(|| Call {
+        deadline_ms,
+        ..call.clone()
+    })
+}
+
+fn is_lost(caller: &Caller, code: ResultCode) -> bool {
+    code == ResultCode::UnknownAgentGone && caller.close_reason().is_some()
+}
+
+async fn connect(
+    socket: &CallerSocket,
+    service: &str,
+    address: SocketAddr,
+) -> Result<Caller, CallError> {
+    let connecting = socket.connect(service, address, None);
+    timeout(OPEN_TIMEOUT, connecting).await.unwrap_or_else(|_| {
+        Err(CallError::Connect {
+            service: service.to_owned(),
+            reason: format!("no agent responded within {} s", OPEN_TIMEOUT.as_secs()),
+        })
+    })
+}
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod answer;
 mod call;
+mod flow;
 mod session;
 mod socket;
 mod tls;
 
 pub use answer::{Answer, AnswerReader};
 pub use call::{Call, CallStream};
+pub use flow::Flow;
 pub use session::{Caller, Resume};
 pub use socket::{CallerOptions, CallerSocket};
 
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -1,9 +1,11 @@
 //! Session of a caller at one agent.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hawthorntide_types::{Epoch, Sequence, SessionId};
 use hawthorntide_wire::{FrameReader, call};
+use tokio::task::JoinHandle;
 
 use crate::CallError;
 
@@ -23,10 +25,35 @@
     pub connection_id: Vec<u8>,
 }
 
+/// Ends the watch over a connection, whose handle would keep the connection open, once neither the
+/// caller nor one of its streams uses it.
+#[derive(Clone, Debug)]
+pub(crate) struct WatchGuard {
+    _task: Arc<AbortOnDrop>,
+}
+
+#[derive(Debug)]
+struct AbortOnDrop(JoinHandle<()>);
+
+impl WatchGuard {
+    pub(crate) fn new(task: JoinHandle<()>) -> Self {
+        Self {
+            _task: Arc::new(AbortOnDrop(task)),
+        }
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Connection to one agent with a session.
 #[derive(Debug)]
 pub struct Caller {
     pub(crate) connection: quinn::Connection,
+    pub(crate) watch: WatchGuard,
     pub(crate) session: SessionId,
     pub(crate) epoch: Epoch,
     next_sequence: AtomicU64,
@@ -34,15 +61,19 @@
 }
 
 impl Caller {
-    /// Waits for the session that the agent grants; keeps the session of `resume` instead, if any.
+    /// Waits for the session that the agent grants; keeps the session of `resume` instead, if it was
+    /// granted by the same life of the agent.
     pub(crate) async fn start(
         connection: quinn::Connection,
+        watch: WatchGuard,
         resume: Option<Resume>,
     ) -> Result<Self, CallError> {
         let grant = read_grant(&connection).await?;
-        if let Some(resume) = resume {
+        let same_life = |resume: &Resume| resume.epoch.get() == grant.epoch;
+        if let Some(resume) = resume.filter(same_life) {
             return Ok(Self {
                 connection,
+                watch,
                 session: resume.session,
                 epoch: resume.epoch,
                 next_sequence: AtomicU64::new(resume.next_sequence.get()),
@@ -51,6 +82,7 @@
         }
         Ok(Self {
             connection,
+            watch,
             session: SessionId(grant.session),
             epoch: Epoch(grant.epoch),
             next_sequence: AtomicU64::new(1),
@@ -73,6 +105,11 @@
         Sequence(self.next_sequence.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Returns whether requests of `earlier` may be sent again under their sequence.
+    pub fn continues(&self, earlier: &Self) -> bool {
+        self.session == earlier.session && self.epoch == earlier.epoch
+    }
+
     /// Returns the session.
     pub const fn session(&self) -> SessionId {
         self.session
--- a/crates/client/src/socket.rs
+++ b/crates/client/src/socket.rs
@@ -1,22 +1,32 @@
 //! Local UDP socket from which callers open connections.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use quinn::{ClientConfig, Endpoint, EndpointConfig, TokioRuntime, TransportConfig, VarInt};
 use quinn_proto::ConnectionId;
 use rustls::pki_types::CertificateDer;
+use tokio::time::Instant;
 
-use crate::session::{Caller, Resume};
+use crate::session::{Caller, Resume, WatchGuard};
 use crate::{CallError, tls};
 
 /// Interval of keepalives; several must be lost before a flow counts as silent.
 const KEEP_ALIVE: Duration = Duration::from_millis(750);
 
-/// Silence after which the socket moves to a new port.
+/// Silence after which the socket moves to a new port; a flow counts as silent within 3 s.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
 
+/// Silence on the new port after which the agent counts as gone.
+const GONE_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Interval at which a connection looks for received packets.
+const SILENCE_POLL: Duration = Duration::from_millis(200);
+
+/// Code by which a caller closes a connection whose agent does not respond.
+const CLOSE_SILENT: u32 = 1;
+
 /// Silence after which a connection is given up.
 const IDLE_TIMEOUT_MS: u32 = 30_000;
 
@@ -38,6 +48,8 @@
     endpoint: Endpoint,
     config: ClientConfig,
     local_address: SocketAddr,
+    /// Time of the last move; connections that fall silent together move once.
+    moved_at: Arc<Mutex<Option<Instant>>>,
 }
 
 impl CallerSocket {
@@ -54,6 +66,7 @@
             endpoint,
             config,
             local_address: options.local_address,
+            moved_at: Arc::default(),
         })
     }
 
@@ -82,9 +95,8 @@
         let connection = connecting
             .await
             .map_err(|error| connect_error(error.to_string()))?;
-        let caller = Caller::start(connection.clone(), resume).await?;
-        tokio::spawn(self.clone().watch(connection));
-        Ok(caller)
+        let watch = tokio::spawn(self.clone().watch(connection.clone()));
+        Caller::start(connection, WatchGuard::new(watch), resume).await
     }
 
     /// Moves all connections of this socket to a new local port.
@@ -105,32 +117,49 @@
         self.endpoint.wait_idle().await;
     }
 
-    /// Rebinds when `connection` receives nothing although keepalives are sent.
+    /// Moves to a new port when `connection` receives nothing although keepalives are sent, and
+    /// closes it when it stays silent there.
     async fn watch(self, connection: quinn::Connection) {
-        let mut received = connection.stats().udp_rx.datagrams;
-        let mut last_heard = tokio::time::Instant::now();
+        let mut received = 0;
+        let mut last_heard = Instant::now();
+        let mut has_moved = false;
         loop {
             tokio::select! {
                 _ = connection.closed() => return,
-                () = tokio::time::sleep(KEEP_ALIVE) => {}
+                () = tokio::time::sleep(SILENCE_POLL) => {}
             }
             let now_received = connection.stats().udp_rx.datagrams;
             if now_received != received {
                 received = now_received;
-                last_heard = tokio::time::Instant::now();
+                last_heard = Instant::now();
+                has_moved = false;
                 continue;
             }
-            if last_heard.elapsed() < SILENCE_LIMIT {
-                continue;
+            let silence = last_heard.elapsed();
+            if has_moved && silence >= SILENCE_LIMIT + GONE_LIMIT {
+                connection.close(VarInt::from_u32(CLOSE_SILENT), b"silent");
+                return;
             }
-            log::info!(
-                "caller: No packet for {} ms, moving to a new port.",
-                SILENCE_LIMIT.as_millis()
-            );
-            if let Err(error) = self.rebind() {
-                log::warn!("caller: Cannot move to a new port: {error}.");
+            if !has_moved && silence >= SILENCE_LIMIT {
+                has_moved = true;
+                self.move_once();
             }
-            last_heard = tokio::time::Instant::now();
+        }
+    }
+
+    fn move_once(&self) {
+        let mut moved_at = self.moved_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_recent = moved_at.is_some_and(|at| at.elapsed() < SILENCE_LIMIT);
+        if is_recent {
+            return;
+        }
+        *moved_at = Some(Instant::now());
+        match self.rebind() {
+            Ok(()) => log::info!(
+                "caller: No packet for {} ms, moved to a new port.",
+                SILENCE_LIMIT.as_millis()
+            ),
+            Err(error) => log::warn!("caller: Cannot move to a new port: {error}."),
         }
     }
 }
--- a/crates/emulator/src/fabric.rs
+++ b/crates/emulator/src/fabric.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// Largest datagram that is taken from a socket.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
@@ -139,11 +139,13 @@
     stop: CancellationToken,
 }
 
-/// Handle of a running emulated fabric; dropping it ends the fabric.
+/// Handle of a running emulated fabric; dropping its last clone ends the fabric.
+#[derive(Clone)]
 pub struct Fabric {
     shared: Arc<Shared>,
     address: SocketAddr,
-    random: std::sync::Mutex<ChaCha8Rng>,
+    random: Arc<std::sync::Mutex<ChaCha8Rng>>,
+    _stop: Arc<DropGuard>,
 }
 
 impl std::fmt::Debug for Fabric {
@@ -177,10 +179,12 @@
             counters: Counters::default(),
             stop: CancellationToken::new(),
         });
+        let random = ChaCha8Rng::seed_from_u64(options.seed);
         let fabric = Self {
+            _stop: Arc::new(shared.stop.clone().drop_guard()),
             shared,
             address,
-            random: std::sync::Mutex::new(ChaCha8Rng::seed_from_u64(options.seed)),
+            random: Arc::new(std::sync::Mutex::new(random)),
         };
         for link in &options.balancers {
             fabric.attach_balancer(*link);
@@ -282,12 +286,6 @@
     }
 }
 
-impl Drop for Fabric {
-    fn drop(&mut self) {
-        self.shared.stop.cancel();
-    }
-}
-
 impl Shared {
     fn read(&self) -> RwLockReadGuard<'_, Condition> {
         self.condition
--- /dev/null
+++ b/crates/trial/src/callers.rs
@@ -0,0 +1,344 @@
+//! Emulated callers: flows that stay open, streams on them and requests at a given rate.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use hawthorntide_client::{Call, CallError, Caller, CallerOptions, CallerSocket, Flow};
+use hawthorntide_emulator::WorkOrder;
+use hawthorntide_routing::ConnectionIdCodec;
+use hawthorntide_timeline::EventKind;
+use hawthorntide_types::{ResultCode, ServiceId, ServiceName, WorkKind};
+use prost::Message;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::deployment::{CallerMix, ServiceEntry};
+use crate::observer::{FlowLoss, Observer, WorkOutcome};
+use crate::world::World;
+
+/// Flows that share one local port.
+const FLOWS_PER_SOCKET: u64 = 4;
+/// Flows that are opened at the same time.
+const OPENING_FLOWS: usize = 64;
+/// Pause before a flow that could not be opened is tried again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(300);
+/// Requests of a flood that wait at the same time; a caller program has limits, too.
+const FLOOD_IN_PROGRESS: usize = 20_000;
+/// Bytes of an answer that name its work and its service.
+const SERVICE_BYTES: std::ops::Range<usize> = 8..16;
+
+/// Callers of one service.
+#[derive(Debug)]
+pub(crate) struct Callers {
+    index: usize,
+    id: ServiceId,
+    name: ServiceName,
+    entry: ServiceEntry,
+    addresses: Vec<SocketAddr>,
+    codec: ConnectionIdCodec,
+    observer: Arc<Observer>,
+    flows: RwLock<Vec<OpenFlow>>,
+    sockets: Vec<CallerSocket>,
+    opening: Semaphore,
+    stop: CancellationToken,
+    random: Mutex<ChaCha8Rng>,
+}
+
+#[derive(Clone, Debug)]
+struct OpenFlow {
+    flow: Arc<Flow>,
+    close: CancellationToken,
+}
+
+impl Callers {
+    pub(crate) fn bind(
+        world: &World,
+        index: usize,
+        observer: Arc<Observer>,
+        seed: u64,
+    ) -> Result<Arc<Self>, CallError> {
+        let entry = world.deployment.services[index].clone();
+        let count = world.deployment.connections(&entry);
+        let mut sockets = Vec::new();
+        for _ in 0..count.div_ceil(FLOWS_PER_SOCKET) {
+            sockets.push(CallerSocket::bind(CallerOptions {
+                local_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+                authority: vec![world.authority.certificate()],
+            })?);
+        }
+        Ok(Arc::new(Self {
+            index,
+            id: ServiceId::of_name(&entry.name),
+            name: entry.name.clone(),
+            addresses: world.services[index].addresses.clone(),
+            codec: world.connection_id_codec(),
+            entry,
+            observer,
+            flows: RwLock::default(),
+            sockets,
+            opening: Semaphore::new(OPENING_FLOWS),
+            stop: CancellationToken::new(),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ index as u64)),
+        }))
+    }
+
+    pub(crate) fn entry(&self) -> &ServiceEntry {
+        &self.entry
+    }
+
+    pub(crate) fn sockets(&self) -> &[CallerSocket] {
+        &self.sockets
+    }
+
+    /// Returns the number of flows that are open.
+    pub(crate) fn open_flows(&self) -> usize {
+        let flows = self.flows.read().unwrap_or_else(PoisonError::into_inner);
+        flows.len()
+    }
+
+    /// Starts `count` flows, each of which stays open until it is closed or lost.
+    pub(crate) fn spawn_flows(self: &Arc<Self>, count: u64) {
+        for number in 0..count {
+            let callers = Arc::clone(self);
+            tokio::spawn(async move { callers.keep_flow(number).await });
+        }
+    }
+
+    /// Starts the requests of the file and the replacement of flows.
+    pub(crate) fn spawn_requests(self: &Arc<Self>) {
+        for mix in &self.entry.callers {
+            let rate = self.entry.capacity_per_second() * f64::from(mix.load_per_mille) / 1000.0;
+            if mix.kind != WorkKind::Stream && rate > 0.0 {
+                let requests = Arc::clone(self).request(mix.clone(), rate, false);
+                tokio::spawn(self.stop.clone().run_until_cancelled_owned(requests));
+            }
+        }
+        if self.entry.new_flows_per_second.get() > 0 {
+            let replacing = Arc::clone(self).replace_flows();
+            tokio::spawn(self.stop.clone().run_until_cancelled_owned(replacing));
+        }
+    }
+
+    /// Starts a flood of one kind of work until `end` is cancelled.
+    pub(crate) fn spawn_flood(self: &Arc<Self>, kind: WorkKind, rate: f64, end: CancellationToken) {
+        let Some(mix) = self.entry.mix(kind) else {
+            return;
+        };
+        let requests = Arc::clone(self).request(mix.clone(), rate, true);
+        tokio::spawn(async move { end.run_until_cancelled_owned(requests).await });
+    }
+
+    /// Ends requests and the replacement of flows.
+    pub(crate) fn stop_requests(&self) {
+        self.stop.cancel();
+    }
+
+    fn random<T>(&self, choose: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        choose(&mut random)
+    }
+
+    fn any_flow(&self) -> Option<OpenFlow> {
+        let flows = self.flows.read().unwrap_or_else(PoisonError::into_inner);
+        self.random(|random| flows.choose(random).cloned())
+    }
+
+    /// Keeps one flow open and opens it again when it is lost or closed.
+    async fn keep_flow(self: Arc<Self>, number: u64) {
+        let socket = &self.sockets[(number / FLOWS_PER_SOCKET) as usize];
+        let address = self.addresses[number as usize % self.addresses.len()];
+        let streams = self.entry.mix(WorkKind::Stream);
+        let has_stream =
+            streams.is_some_and(|mix| number % 1000 < u64::from(mix.connections_per_mille.get()));
+        while !self.observer.is_stopping() {
+            let opened = {
+                let _permit = self.opening.acquire().await;
+                Flow::open(socket.clone(), self.name.as_str(), address).await
+            };
+            let Ok(flow) = opened else {
+                self.observer.opens_failed.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(REOPEN_PAUSE).await;
+                continue;
+            };
+            self.observer.record_flow(self.id, EventKind::FlowOpened);
+            let open = OpenFlow {
+                flow: Arc::new(flow),
+                close: CancellationToken::new(),
+            };
+            self.add(&open);
+            let use_flow = self.use_flow(&open.flow, has_stream);
+            // A closed flow ends with the last request on it, because nothing else refers to it then.
+            open.close.run_until_cancelled(use_flow).await;
+            self.remove(&open);
+        }
+    }
+
+    fn add(&self, open: &OpenFlow) {
+        let mut flows = self.flows.write().unwrap_or_else(PoisonError::into_inner);
+        flows.push(open.clone());
+    }
+
+    fn remove(&self, open: &OpenFlow) {
+        let mut flows = self.flows.write().unwrap_or_else(PoisonError::into_inner);
+        flows.retain(|other| !Arc::ptr_eq(&other.flow, &open.flow));
+    }
+
+    /// Uses a flow until it cannot be opened again.
+    async fn use_flow(&self, flow: &Flow, has_stream: bool) {
+        loop {
+            let (caller, code) = if has_stream {
+                let caller = flow.caller();
+                let code = self.read_stream(&caller).await;
+                (caller, code)
+            } else {
+                (flow.lost().await, ResultCode::UnknownAgentGone)
+            };
+            let reason = match caller.close_reason() {
+                Some(reason) => format!("{reason} ({code})"),
+                None => code.to_string(),
+            };
+            let loss = FlowLoss {
+                at: self.observer.now(),
+                endpoint: self.endpoint_of(&caller),
+                reason: format!("{}: {reason}", self.name),
+            };
+            self.observer.record_loss(self.id, code, loss);
+            if self.observer.is_stopping() {
+                return;
+            }
+            if caller.close_reason().is_none() {
+                continue;
+            }
+            let Ok(next) = flow.reopen(&caller).await else {
+                return;
+            };
+            let kind = if next.continues(&caller) {
+                EventKind::FlowResumed
+            } else {
+                EventKind::FlowOpened
+            };
+            self.observer.record_flow(self.id, kind);
+        }
+    }
+
+    /// Reads a stream until it ends, and checks each message.
+    async fn read_stream(&self, caller: &Caller) -> ResultCode {
+        let order = self.order(0);
+        let mut stream = match caller.open_stream(order.encode_to_vec()).await {
+            Ok(stream) => stream,
+            Err(code) => return code,
+        };
+        let mut number = 0;
+        loop {
+            match stream.next_message().await {
+                Ok(Some(message)) => self.check_message(&order, number, &message),
+                Ok(None) => return ResultCode::AnswerCut,
+                Err(code) => return code,
+            }
+            number += 1;
+        }
+    }
+
+    fn check_message(&self, order: &WorkOrder, number: u64, message: &[u8]) {
+        if message == order.stream_message(number) {
+            return;
+        }
+        let mut seen = self.observer.seen();
+        if self.is_foreign(message) {
+            seen.foreign_messages += 1;
+        } else {
+            seen.wrong_messages += 1;
+        }
+    }
+
+    fn is_foreign(&self, answer: &[u8]) -> bool {
+        let service = answer.get(SERVICE_BYTES);
+        service.is_some_and(|service| service != self.id.get().to_be_bytes())
+    }
+
+    fn endpoint_of(&self, caller: &Caller) -> Option<hawthorntide_types::EndpointId> {
+        let token = self.codec.decode(&caller.resume().connection_id)?;
+        Some(token.endpoint)
+    }
+
+    fn order(&self, answer_bytes: u32) -> WorkOrder {
+        WorkOrder {
+            work_id: self.observer.next_work(),
+            service_id: self.id.get(),
+            answer_bytes,
+            messages: 0,
+        }
+    }
+
+    /// Sends requests at `rate` per second, at random times and over random flows.
+    async fn request(self: Arc<Self>, mix: CallerMix, rate: f64, is_flood: bool) {
+        let limit = Arc::new(Semaphore::new(FLOOD_IN_PROGRESS));
+        let mut next = tokio::time::Instant::now();
+        loop {
+            let share: f64 = self.random(|random| random.random_range(f64::EPSILON..1.0));
+            next += Duration::from_secs_f64(-share.ln() / rate);
+            if next > tokio::time::Instant::now() {
+                tokio::time::sleep_until(next).await;
+            }
+            let Some(open) = self.any_flow() else {
+                continue;
+            };
+            let Ok(permit) = Arc::clone(&limit).try_acquire_owned() else {
+                self.observer.flood_skipped.fetch_add(1, Ordering::Relaxed);
+                tokio::task::yield_now().await;
+                continue;
+            };
+            let callers = Arc::clone(&self);
+            let mix = mix.clone();
+            tokio::spawn(async move {
+                callers.ask(&open.flow, &mix, is_flood).await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn ask(&self, flow: &Flow, mix: &CallerMix, is_flood: bool) {
+        let order = self.order(mix.answer_bytes.get() as u32);
+        let call = Call {
+            kind: mix.kind,
+            deadline_ms: mix.deadline_ms,
+            payload: order.encode_to_vec(),
+        };
+        let asked = self.observer.now();
+        let began = Instant::now();
+        self.observer.in_progress.fetch_add(1, Ordering::Relaxed);
+        let answer = flow.call(&call).await;
+        self.observer.in_progress.fetch_sub(1, Ordering::Relaxed);
+        let is_ok = answer.code == ResultCode::Ok;
+        let outcome = WorkOutcome {
+            work_id: order.work_id,
+            service: self.index,
+            kind: mix.kind,
+            is_flood,
+            asked,
+            took: began.elapsed(),
+            deadline: mix.deadline_ms.into(),
+            code: answer.code,
+            is_own_answer: is_ok && answer.data == order.answer(),
+            is_foreign: is_ok && self.is_foreign(&answer.data),
+        };
+        self.observer.record_outcome(self.id, outcome);
+    }
+
+    /// Closes random flows; each is opened again at once.
+    async fn replace_flows(self: Arc<Self>) {
+        let pause = Duration::from_secs(1) / self.entry.new_flows_per_second.get();
+        let mut ticks = tokio::time::interval(pause);
+        loop {
+            ticks.tick().await;
+            if let Some(open) = self.any_flow() {
+                open.close.cancel();
+            }
+        }
+    }
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,10 +1,16 @@
 //! Runs a deployment in one process on loopback and reports what held.
 
+mod callers;
 mod certificate;
 mod deployment;
 mod event;
+mod measure;
+mod observer;
+mod plots;
 mod process;
 mod report;
+mod runner;
+mod series;
 mod world;
 
 pub use certificate::TestAuthority;
@@ -13,6 +19,8 @@
     UpstreamGroup,
 };
 pub use event::{EventName, ParseEventError, TrialEvent};
+pub use plots::PlotError;
 pub use process::{BalancerProcess, UpstreamProcess};
 pub use report::{Promise, TrialReport};
+pub use runner::{TrialError, TrialOptions, TrialOutcome, run};
 pub use world::{World, WorldError};
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -6,7 +6,7 @@
 use hawthorntide_agent::{Agent, DrainReport};
 use hawthorntide_balancer::{Balancer, BalancerReport};
 use hawthorntide_emulator::Upstream;
-use hawthorntide_types::{DurationMs, ServiceName};
+use hawthorntide_types::{DurationMs, EndpointId, ServiceName};
 use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 
@@ -99,6 +99,7 @@
     pub(crate) runtime: ProcessRuntime,
     pub(crate) agent: Option<Agent>,
     pub(crate) service: ServiceName,
+    pub(crate) endpoint: EndpointId,
     pub(crate) upstream: Upstream,
     pub(crate) drain_began: Option<Instant>,
     pub(crate) was_killed: bool,
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -28,16 +28,28 @@
     pub flows_lost_to_kills: Option<u64>,
     /// Flows that continued on a new port or connection.
     pub flows_resumed: Option<u64>,
-    /// Flows that the fabric silenced and that continued.
+    /// Local ports of callers that the fabric silenced.
     pub silent_flows: Option<u64>,
+    /// Longest time until a silenced socket moved to another port.
+    pub silence_found_ms_max: Option<u64>,
+    /// Attempts to open a flow that failed.
+    pub flow_opens_failed: Option<u64>,
     /// Requests that an upstream or caller of another service saw.
     pub misdelivered_packets: Option<u64>,
     /// Largest over mean in-flight work of the upstreams, by service.
     pub imbalance: BTreeMap<ServiceName, Option<f64>>,
+    /// Largest over mean number of open streams of the upstreams, by service.
+    pub stream_imbalance: BTreeMap<ServiceName, Option<f64>>,
     /// Service that was flooded.
     pub flooding_service: Option<ServiceName>,
     /// Goodput during the flood in relation to before, by service, without the flooding work.
     pub goodput_kept_percent: BTreeMap<ServiceName, Option<f64>>,
+    /// Median time beyond the service time, by service, kind of work and part of the trial.
+    pub wait_ms_p50: BTreeMap<String, f64>,
+    /// 99th percentile of the same time.
+    pub wait_ms_p99: BTreeMap<String, f64>,
+    /// 99.9th percentile of the same time.
+    pub wait_ms_p999: BTreeMap<String, f64>,
     /// Reservations that callers asked for.
     pub reservations: Option<u64>,
     /// Non-idempotent work that upstreams ran more than once.
@@ -52,6 +64,8 @@
     pub requests: Option<u64>,
     /// Requests whose answer was whole and in time.
     pub answered: Option<u64>,
+    /// Requests by outcome.
+    pub outcomes: BTreeMap<String, u64>,
     /// Longest time from an accepted change to its use on every balancer.
     pub config_in_force_ms_max: Option<u64>,
     /// Balancers that went back to an older version.
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -11,9 +11,9 @@
     BalancerLink, Fabric, FabricOptions, ServiceSocket, StoreServer, StoreServerOptions, Upstream,
     UpstreamOptions,
 };
-use hawthorntide_routing::{KEY_BYTES, KeyRing, RoutingKey};
+use hawthorntide_routing::{ConnectionIdCodec, KEY_BYTES, KeyRing, RoutingKey};
 use hawthorntide_types::{
-    FailureDomain, Incarnation, Region, Service, ServiceId, ServiceName, Transport,
+    EndpointId, FailureDomain, Incarnation, Region, Service, ServiceId, ServiceName, Transport,
 };
 use hawthorntide_wire::{ClusterKey, ControlCodec};
 use tokio::task::JoinHandle;
@@ -184,6 +184,7 @@
             .map_err(WorldError::Agent)?;
         self.upstreams.push(UpstreamProcess {
             runtime,
+            endpoint: EndpointId::of_address(agent.data_address()),
             agent: Some(agent),
             service: service.name.clone(),
             upstream,
@@ -200,6 +201,11 @@
         service.addresses.get(index).copied()
     }
 
+    /// Returns the codec that reads endpoints from connection identifiers.
+    pub(crate) fn connection_id_codec(&self) -> ConnectionIdCodec {
+        ConnectionIdCodec::new(self.secrets.keys.clone())
+    }
+
     /// Returns the one-way delay between callers and balancers; the way on to another failure
     /// domain is included, because the sockets between balancers and agents have no delay.
     fn delay(&self) -> Duration {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod codes;
+mod trial;
 
 use std::process::ExitCode;
 
@@ -21,5 +22,6 @@
 fn run(cli: Cli) -> ResultCode {
     match cli.command {
         Command::Codes => codes::run(),
+        Command::Trial(arguments) => trial::run(arguments),
     }
 }
