--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use clap_complete::Shell;
+use hawthorntide_trial::TrialEvent;
 use hawthorntide_types::{ProfileName, ServiceName, Version};
 
 use crate::output::OutputFormat;
@@ -42,6 +43,8 @@
     Status(AdminArguments),
     /// Shows the events that a balancer recorded.
     Timeline(TimelineArguments),
+    /// Runs a deployment in this process on loopback and reports what held.
+    Trial(TrialArguments),
 }
 
 const CODES_HELP: &str = "The exit code is a result code; `hawthorntide codes` lists them.";
@@ -271,3 +274,25 @@
     #[arg(long, default_value_t = 100)]
     pub(crate) limit: usize,
 }
+
+/// Arguments of `trial`.
+#[derive(Args, Debug)]
+pub(crate) struct TrialArguments {
+    /// Deployment file, JSON with comments.
+    pub(crate) file: PathBuf,
+    /// Length of the measured part in seconds.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=86_400))]
+    pub(crate) seconds: u64,
+    /// Seed of every random choice of the emulation.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// Event as NAME@SECONDS; may be given many times.
+    #[arg(long = "event", value_name = "NAME@SECONDS")]
+    pub(crate) events: Vec<TrialEvent>,
+    /// File for the JSON report.
+    #[arg(long)]
+    pub(crate) report: Option<PathBuf>,
+    /// Directory for plots and the time line.
+    #[arg(long)]
+    pub(crate) plots: Option<PathBuf>,
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
 mod service;
 mod status;
 mod timeline;
+mod trial;
 
 use std::process::ExitCode;
 
@@ -46,6 +47,7 @@
         Command::Service(arguments) => block_on(service::run(arguments, format)),
         Command::Status(arguments) => block_on(status::run(arguments, format)),
         Command::Timeline(arguments) => block_on(timeline::run(arguments, format)),
+        Command::Trial(arguments) => Ok(trial::run(arguments)),
     }
 }
 
