--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod body;
 mod limits;
+mod log_level;
 mod metric;
 mod operations;
 mod process;
@@ -19,6 +20,7 @@
     ProfileChoice, TimelineBody, VersionedProfile, VersionedService,
 };
 pub use limits::AdminLimits;
+pub use log_level::{log_level, set_log_level};
 pub use metric::{install_metrics, render_metrics};
 pub use operations::{
     BalancerStatus, Change, Confirmation, Operations, OperationsFuture, StatusReport,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,7 +6,7 @@
 use clap::{Args, Parser, Subcommand};
 use clap_complete::Shell;
 use hawthorntide_trial::TrialEvent;
-use hawthorntide_types::{ProfileName, ServiceName, Version};
+use hawthorntide_types::{ProfileName, RatePerSecond, ServiceName, Version, WorkKind};
 
 use crate::output::OutputFormat;
 
@@ -25,6 +25,8 @@
 /// Commands.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Sends one request to a service.
+    Call(CallArguments),
     /// Checks settings files, profiles and services.
     Check(CheckArguments),
     /// Prints the table of result codes.
@@ -33,6 +35,8 @@
     Completions(CompletionsArguments),
     /// Begins the drain of a balancer.
     Drain(DrainArguments),
+    /// Runs a stand-in of the platform, of an upstream or of callers.
+    Emulate(EmulateArguments),
     /// Makes a set of keys, certificates and tokens for development.
     Keys(KeysArguments),
     /// Shows and changes profiles.
@@ -60,6 +64,144 @@
     pub(crate) files: Vec<PathBuf>,
 }
 
+/// Service that is called.
+#[derive(Args, Clone, Debug)]
+pub(crate) struct TargetArguments {
+    /// Address of the service.
+    #[arg(long, value_name = "IP:PORT")]
+    pub(crate) address: SocketAddr,
+    /// Name of the service, which its certificate must bear.
+    #[arg(long, value_name = "NAME")]
+    pub(crate) service: ServiceName,
+    /// Certificates of the authority in PEM.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) authority: PathBuf,
+}
+
+/// Arguments of `call`.
+#[derive(Args, Debug)]
+#[command(after_help = "Examples:
+  hawthorntide call sheet --address 127.0.0.1:4433 --service catalogue --authority keys/authority.crt
+  hawthorntide call reservation --address 127.0.0.1:4433 --service stockd \\
+      --authority keys/authority.crt --deadline-ms 500
+
+Without --payload the request is an order for an emulated upstream. The exit code is the result
+code of the request.")]
+pub(crate) struct CallArguments {
+    #[command(flatten)]
+    pub(crate) target: TargetArguments,
+    /// Kind of work: stream, reservation or sheet.
+    pub(crate) kind: WorkKind,
+    /// Text for the upstream.
+    #[arg(long, conflicts_with_all = ["answer_bytes", "messages"])]
+    pub(crate) payload: Option<String>,
+    /// Size of the answer that an emulated upstream gives.
+    #[arg(long, default_value_t = 1000)]
+    pub(crate) answer_bytes: u32,
+    /// Messages of a stream.
+    #[arg(long, default_value_t = 3)]
+    pub(crate) messages: u32,
+    /// Longest wait; 0 leaves it to the profile.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) deadline_ms: u64,
+}
+
+/// Arguments of `emulate`.
+#[derive(Args, Debug)]
+pub(crate) struct EmulateArguments {
+    /// What to run.
+    #[command(subcommand)]
+    pub(crate) command: EmulateCommand,
+}
+
+/// Stand-ins.
+#[derive(Debug, Subcommand)]
+pub(crate) enum EmulateCommand {
+    /// Serves the platform's object API until SIGINT or SIGTERM.
+    Platform(EmulatePlatformArguments),
+    /// Serves the upstream protocol until SIGINT or SIGTERM.
+    Upstream(EmulateUpstreamArguments),
+    /// Calls a service for some time and counts the outcomes.
+    Callers(EmulateCallersArguments),
+}
+
+/// Arguments of `emulate platform`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide emulate platform --address 127.0.0.1:4001 --delay-ms 5")]
+pub(crate) struct EmulatePlatformArguments {
+    /// Address to listen at; port 0 selects a free one.
+    #[arg(long, value_name = "IP:PORT")]
+    pub(crate) address: SocketAddr,
+    /// Time by which each answer is late.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) delay_ms: u64,
+    /// Time by which watches learn of changes late.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) event_delay_ms: u64,
+    /// Answers to writes that are lost, in thousandths.
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=1000))]
+    pub(crate) lost_answers_per_mille: u16,
+    /// Calls per second that are answered; more are refused.
+    #[arg(long)]
+    pub(crate) call_limit: Option<RatePerSecond>,
+    /// Seed of the lost answers.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+}
+
+/// Arguments of `emulate upstream`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide emulate upstream --address 127.0.0.1:5102 --service stockd --slots 2")]
+pub(crate) struct EmulateUpstreamArguments {
+    /// Address to listen at; port 0 selects a free one.
+    #[arg(long, value_name = "IP:PORT")]
+    pub(crate) address: SocketAddr,
+    /// Service whose work it does.
+    #[arg(long, value_name = "NAME")]
+    pub(crate) service: ServiceName,
+    /// Units of concurrent work.
+    #[arg(long, default_value_t = 2)]
+    pub(crate) slots: u32,
+    /// Mean time that a request holds a slot.
+    #[arg(long, default_value_t = 10)]
+    pub(crate) service_time_ms: u64,
+    /// Seed of the deviations of service times.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+}
+
+/// Arguments of `emulate callers`.
+#[derive(Args, Clone, Debug)]
+#[command(after_help = "Example:
+  hawthorntide emulate callers --address 127.0.0.1:4433 --service catalogue \\
+      --authority keys/authority.crt --callers 20 --seconds 5
+
+The exit code is 0 when every request was answered, otherwise that of the most frequent failure.")]
+pub(crate) struct EmulateCallersArguments {
+    #[command(flatten)]
+    pub(crate) target: TargetArguments,
+    /// Callers, each with one connection.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u32).range(1..=10_000))]
+    pub(crate) callers: u32,
+    /// Length of the run.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=86_400))]
+    pub(crate) seconds: u64,
+    /// Kind of work: stream, reservation or sheet.
+    #[arg(long, default_value = "sheet")]
+    pub(crate) kind: WorkKind,
+    /// Size of each answer.
+    #[arg(long, default_value_t = 1000)]
+    pub(crate) answer_bytes: u32,
+    /// Pause of a caller between two requests.
+    #[arg(long, default_value_t = 20)]
+    pub(crate) pause_ms: u64,
+    /// Longest wait of a request; 0 leaves it to the profile.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) deadline_ms: u64,
+}
+
 /// Arguments of `completions`.
 #[derive(Args, Debug)]
 #[command(after_help = "Example:
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,16 +1,20 @@
 //! Layer-4 load balancer: every process between callers and upstreams in one binary.
 
 mod admin_client;
+mod call;
 mod check;
 mod cli;
 mod codes;
 mod completions;
 mod drain;
+mod emulate;
 mod failure;
 mod keys;
+mod logging;
 mod output;
 mod profile;
 mod service;
+mod signal;
 mod status;
 mod timeline;
 mod trial;
@@ -38,10 +42,12 @@
 fn run(cli: Cli) -> Result<ResultCode, Failure> {
     let format = cli.output;
     match cli.command {
+        Command::Call(arguments) => block_on(call::run(arguments, format)),
         Command::Check(arguments) => Ok(check::run(&arguments)),
         Command::Codes => codes::run(format),
         Command::Completions(arguments) => Ok(completions::run(&arguments)),
         Command::Drain(arguments) => block_on(drain::run(arguments, format)),
+        Command::Emulate(arguments) => block_on(emulate::run(arguments, format)),
         Command::Keys(arguments) => keys::run(&arguments, format),
         Command::Profile(arguments) => block_on(profile::run(arguments, format)),
         Command::Service(arguments) => block_on(service::run(arguments, format)),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -3,12 +3,14 @@
 #[path = "../crates/admin/tests/support/mod.rs"]
 mod support;
 
+use std::io::{BufRead, BufReader};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Stdio};
 
 use googletest::prelude::*;
-use hawthorntide_types::ResultCode;
+use hawthorntide_platform::{ObjectStore, StoreError, StoreOptions};
+use hawthorntide_types::{DurationMs, ResultCode, Version};
 use serde_json::{Value, json};
 
 use crate::support::{PROFILE, Setup, StoreState, setup};
@@ -121,10 +123,12 @@
 fn help_shows_every_command_and_examples() {
     let help = run(&["--help"]).stdout;
     for command in [
+        "call",
         "check",
         "codes",
         "completions",
         "drain",
+        "emulate",
         "keys",
         "profile",
         "service",
@@ -327,6 +331,50 @@
     expect_that!(followed.code, eq(code(ResultCode::ProfileFollowed)));
 }
 
+// Guards against a stand-in that does not serve, ends with an error or ignores its faults.
+#[gtest]
+#[tokio::test]
+async fn the_emulated_platform_serves_until_it_is_told_to_stop() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hawthorntide"));
+    let arguments = [
+        "emulate",
+        "platform",
+        "--address",
+        "127.0.0.1:0",
+        "--call-limit",
+        "2",
+    ];
+    command.args(arguments).stdout(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let first = lines.next().unwrap().unwrap();
+    let address = first.rsplit(' ').next().unwrap().parse().unwrap();
+    let store = ObjectStore::open(address, StoreOptions::default()).unwrap();
+    expect_that!(store.list().await.unwrap().objects, is_empty());
+    expect_that!(store.list().await, ok(anything()));
+    let limited = store.watch(Version(0), DurationMs(10)).await;
+    expect_that!(limited, err(eq(&StoreError::Limited)));
+    let id = child.id().to_string();
+    Command::new("kill").args(["-TERM", &id]).status().unwrap();
+    expect_that!(child.wait().unwrap().code(), some(eq(0)));
+    expect_that!(lines.next().unwrap().unwrap(), eq("3 calls"));
+}
+
+// Guards against a caller that waits for ever, or a missing certificate that looks like an outage.
+#[gtest]
+fn calls_that_reach_nobody_have_their_codes() {
+    let directory = Directory::new("call");
+    run(&["keys", &directory.path("keys")]);
+    let authority = directory.path("keys/authority.crt");
+    let call = |authority: &str| {
+        let target = ["--address", "127.0.0.1:9", "--service", "stockd"];
+        run(&[&["call", "sheet"][..], &target, &["--authority", authority]].concat())
+    };
+    expect_that!(call(&authority).code, eq(code(ResultCode::Unreachable)));
+    let missing = call(&directory.path("missing.crt"));
+    expect_that!(missing.code, eq(code(ResultCode::SettingsUnreadable)));
+}
+
 // Guards against a state that operators cannot see, and against colours in files and pipes.
 #[gtest]
 #[tokio::test]
