Rotate connection identifier keys and renew certificates at run time

Keys and certificates were fixed at the start, so that a rotation meant a restart of every process. Agents and balancers now take a new key ring, and agents a new certificate, while they run; open flows are not touched.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,8 +1,8 @@
 //! Running agent: its sockets, tasks and shared state.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -102,7 +102,7 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) incarnation: Incarnation,
     pub(crate) data_address: SocketAddr,
-    pub(crate) codec: ConnectionIdCodec,
+    pub(crate) codec: Arc<RwLock<ConnectionIdCodec>>,
     pub(crate) profile: Profile,
     pub(crate) upstream: UpstreamClient,
     pub(crate) work_slots: tokio::sync::Semaphore,
@@ -149,7 +149,7 @@
             endpoint: EndpointId::of_address(data_address),
             incarnation: options.incarnation,
             data_address,
-            codec: ConnectionIdCodec::new(options.keys),
+            codec: Arc::new(RwLock::new(ConnectionIdCodec::new(options.keys))),
             profile: options.profile,
             upstream: UpstreamClient::new(options.upstream_address),
             work_slots: tokio::sync::Semaphore::new(options.slots.get() as usize),
@@ -201,6 +201,23 @@
         self.shared.open_flows.load(Ordering::Relaxed)
     }
 
+    /// Takes another certificate for new connections; open ones go on.
+    pub fn reload_tls(&self, tls: AgentTls) -> Result<(), AgentError> {
+        let config = tls::server_config(tls)?;
+        self.endpoint.set_server_config(Some(config));
+        Ok(())
+    }
+
+    /// Takes another key ring; identifiers that were issued before are not changed.
+    pub fn rotate_keys(&self, keys: KeyRing) {
+        let codec = ConnectionIdCodec::new(keys);
+        *self
+            .shared
+            .codec
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = codec;
+    }
+
     /// Takes no new work, waits until open flows end or `limit` passes, then stops.
     pub async fn drain(self, limit: DurationMs) -> DrainReport {
         self.begin_drain();
@@ -262,7 +279,11 @@
     let address = shared.data_address;
     let server = tls::server_config(tls)?;
     let mut config = quinn::EndpointConfig::default();
-    let ids = NamedConnectionIds::new(shared.codec.clone(), shared.endpoint, shared.incarnation);
+    let ids = NamedConnectionIds::new(
+        Arc::clone(&shared.codec),
+        shared.endpoint,
+        shared.incarnation,
+    );
     config.cid_generator(move || Box::new(ids.clone()));
     let socket = Arc::new(AgentSocket::new(data, Arc::clone(shared)));
     let runtime = Arc::new(quinn::TokioRuntime);
--- a/crates/agent/src/connection.rs
+++ b/crates/agent/src/connection.rs
@@ -12,7 +12,11 @@
 
 /// Accepts connections until the endpoint is closed.
 pub(crate) async fn accept(shared: Arc<Shared>, endpoint: quinn::Endpoint, tasks: TaskTracker) {
-    let ids = NamedConnectionIds::new(shared.codec.clone(), shared.endpoint, shared.incarnation);
+    let ids = NamedConnectionIds::new(
+        Arc::clone(&shared.codec),
+        shared.endpoint,
+        shared.incarnation,
+    );
     while let Some(incoming) = endpoint.accept().await {
         let Ok(connecting) = incoming.accept() else {
             continue;
--- a/crates/agent/src/connection_id.rs
+++ b/crates/agent/src/connection_id.rs
@@ -1,7 +1,7 @@
 //! Connection identifiers that name this agent's endpoint.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use hawthorntide_routing::ConnectionIdCodec;
@@ -11,7 +11,8 @@
 /// Issues connection identifiers for quinn.
 #[derive(Clone, Debug)]
 pub(crate) struct NamedConnectionIds {
-    codec: ConnectionIdCodec,
+    /// Replaced when keys are rotated; identifiers that were issued before stay valid.
+    codec: Arc<RwLock<ConnectionIdCodec>>,
     endpoint: EndpointId,
     incarnation: Incarnation,
     next_nonce: Arc<AtomicU64>,
@@ -19,7 +20,7 @@
 
 impl NamedConnectionIds {
     pub(crate) fn new(
-        codec: ConnectionIdCodec,
+        codec: Arc<RwLock<ConnectionIdCodec>>,
         endpoint: EndpointId,
         incarnation: Incarnation,
     ) -> Self {
@@ -35,7 +36,8 @@
     /// Returns a new identifier of this endpoint.
     pub(crate) fn issue(&self) -> [u8; 20] {
         let nonce = self.next_nonce.fetch_add(1, Ordering::Relaxed);
-        self.codec.encode(self.endpoint, self.incarnation, nonce)
+        let codec = self.codec.read().unwrap_or_else(PoisonError::into_inner);
+        codec.encode(self.endpoint, self.incarnation, nonce)
     }
 }
 
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -11,7 +11,7 @@
 use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
 use hawthorntide_wire::ControlCodec;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -92,7 +92,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) table: RwLock<RoutingTable>,
-    pub(crate) codec: ConnectionIdCodec,
+    pub(crate) codec: watch::Sender<ConnectionIdCodec>,
     pub(crate) ingress: Ingress,
     pub(crate) started: tokio::time::Instant,
     pub(crate) packets_forwarded: AtomicU64,
@@ -132,7 +132,7 @@
         }
         let shared = Arc::new(Shared {
             table: RwLock::new(table),
-            codec: ConnectionIdCodec::new(options.keys),
+            codec: watch::Sender::new(ConnectionIdCodec::new(options.keys)),
             ingress: options.ingress,
             started: tokio::time::Instant::now(),
             packets_forwarded: AtomicU64::new(0),
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Takes another key ring; a flow goes on while the ring holds the key of its identifier.
+    pub fn rotate_keys(&self, keys: KeyRing) {
+        self.shared.codec.send_replace(ConnectionIdCodec::new(keys));
+    }
+
     /// Forwards until no packet came for two seconds or `limit` passes, then stops.
     pub async fn drain(self, limit: DurationMs) -> BalancerReport {
         self.control().announce_drain().await;
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -4,12 +4,13 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
-use hawthorntide_routing::Route;
+use hawthorntide_routing::{ConnectionIdCodec, Route};
 use hawthorntide_types::{ResultCode, ServiceId};
 use hawthorntide_wire::{ForwardHeader, ForwardKind, HEADER_BYTES};
 use tokio::net::UdpSocket;
 
 use crate::balancer::{Ingress, Shared};
+use crate::codec::TaskCodec;
 
 /// Largest datagram that is received.
 const MAX_DATAGRAM_BYTES: usize = 2048;
@@ -24,6 +25,7 @@
     socket: Arc<UdpSocket>,
     data: Arc<UdpSocket>,
 ) {
+    let mut codec = TaskCodec::new(shared.codec.subscribe());
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let received = tokio::select! {
@@ -35,7 +37,8 @@
             continue;
         };
         let datagram = &mut buffer[..HEADER_BYTES + length];
-        forward(&shared, caller, service_address, datagram, &data).await;
+        let codec = codec.current();
+        forward(&shared, codec, caller, service_address, datagram, &data).await;
     }
 }
 
@@ -45,6 +48,7 @@
     data: Arc<UdpSocket>,
     sockets: ServiceSockets,
 ) {
+    let mut codec = TaskCodec::new(shared.codec.subscribe());
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let received = tokio::select! {
@@ -63,6 +67,7 @@
             ForwardKind::Ingress if is_fabric(&shared, from) => {
                 forward(
                     &shared,
+                    codec.current(),
                     header.caller,
                     header.service_address,
                     datagram,
@@ -85,15 +90,17 @@
 /// Sends a caller's packet to the agent that the routing table names.
 async fn forward(
     shared: &Shared,
+    codec: &ConnectionIdCodec,
     caller: SocketAddr,
     service_address: SocketAddr,
     datagram: &mut [u8],
     data: &UdpSocket,
 ) {
-    let (service, to, kind) = match decide(shared, service_address, &datagram[HEADER_BYTES..]) {
-        Ok(decision) => decision,
-        Err(code) => return drop_packet(shared, code),
-    };
+    let (service, to, kind) =
+        match decide(shared, codec, service_address, &datagram[HEADER_BYTES..]) {
+            Ok(decision) => decision,
+            Err(code) => return drop_packet(shared, code),
+        };
     let header = ForwardHeader {
         kind,
         hops: 0,
@@ -109,6 +116,7 @@
 
 fn decide(
     shared: &Shared,
+    codec: &ConnectionIdCodec,
     service_address: SocketAddr,
     packet: &[u8],
 ) -> Result<(ServiceId, SocketAddr, ForwardKind), ResultCode> {
@@ -116,7 +124,7 @@
     let Some(service) = table.service_of(service_address) else {
         return Err(ResultCode::SourceUnknown);
     };
-    match table.route(shared.now(), service, packet, &shared.codec) {
+    match table.route(shared.now(), service, packet, codec) {
         Route::Forward { to, kind } => Ok((service, to, kind)),
         Route::Drop(code) => Err(code),
     }
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,6 +1,7 @@
 //! Balancer process: packet path and control plane.
 
 mod balancer;
+mod codec;
 mod control;
 mod forward;
 
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -116,6 +116,11 @@
         &self.upstream
     }
 
+    /// Returns the running agent.
+    pub const fn agent(&self) -> Option<&Agent> {
+        self.agent.as_ref()
+    }
+
     /// Returns whether the upstream takes new work.
     pub const fn is_serving(&self) -> bool {
         self.agent.is_some()
