Add retry budget, sibling choice and upstream health

Cause: long flows stay where a hash put them, and the reports of an upstream lag or mislead. Change: new flows are passed once to the freer of two siblings, judged by work and flows per slot; the weight of an upstream follows from what the agent observed, with a ramp and a floor; retries take a tenth of the recent rate.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,13 +4,19 @@
 mod estimate;
 mod flows;
 mod hash;
+mod health;
 mod ledger;
 mod machine;
 mod queue;
+mod retry;
 mod shares;
+mod sibling;
 mod window;
 
+pub use health::{AnnouncedWeight, CallResult, HealthHint, UpstreamHealth};
 pub use ledger::{Begin, Fence, Ledger, LedgerLimits, OpenRefused, Outcome};
 pub use machine::{
     AdmissionAction, AdmissionEvent, AdmissionLoad, AdmissionMachine, Completion, RequestId,
 };
+pub use retry::{DEFAULT_RETRY_BUDGET, RetryAttempt, RetryBudget};
+pub use sibling::{EndpointLoad, FlowChoice, SiblingChoice};
--- /dev/null
+++ b/crates/admission/tests/retry.rs
@@ -0,0 +1,70 @@
+//! Retries within the budget and the deadline.
+
+use googletest::prelude::*;
+use hawthorntide_admission::{DEFAULT_RETRY_BUDGET, RetryAttempt, RetryBudget};
+use hawthorntide_types::{DurationMs, PerMille, TimeMs};
+
+fn attempt(idempotent: bool, deadline: TimeMs) -> RetryAttempt {
+    RetryAttempt {
+        idempotent,
+        retries: 0,
+        deadline,
+        expected_ms: DurationMs(10),
+    }
+}
+
+/// Returns how many retries are sent when each of 1,000 requests a second fails for 10 s.
+fn retries_under_failure(budget: &mut RetryBudget) -> (u32, Vec<u64>) {
+    let mut delays = Vec::new();
+    let mut sent = 0;
+    for now in (0..10_000).map(TimeMs) {
+        budget.record_request(now);
+        if let Some(at) = budget.retry(now, attempt(true, now + DurationMs(1000))) {
+            sent += 1;
+            delays.push(at.since(now).get());
+        }
+    }
+    (sent, delays)
+}
+
+/// Guards against a storm of retries when everything fails, and against retries in step.
+#[gtest]
+fn retries_stay_within_a_tenth_of_the_requests_and_are_spread() {
+    let mut budget = RetryBudget::new(DEFAULT_RETRY_BUDGET, 1);
+    let (sent, delays) = retries_under_failure(&mut budget);
+    expect_that!(sent, all![ge(990), le(1001)]);
+    expect_that!(delays.iter().min(), some(le(&1)));
+    expect_that!(delays.iter().max(), some(ge(&19)));
+}
+
+/// Guards against savings of a quiet hour that are spent at once.
+#[gtest]
+fn savings_expire() {
+    let mut budget = RetryBudget::new(DEFAULT_RETRY_BUDGET, 1);
+    for now in (0..10_000).map(TimeMs) {
+        budget.record_request(now);
+    }
+    let later = TimeMs(3_600_000);
+    let allowed = (0..100).filter(|_| {
+        budget
+            .retry(later, attempt(true, later + DurationMs(1000)))
+            .is_some()
+    });
+    expect_that!(allowed.count(), eq(1));
+}
+
+/// Guards against retries of reservations, after the deadline, or against the profile.
+#[gtest]
+fn retries_need_idempotent_work_time_and_a_budget() {
+    let now = TimeMs(1000);
+    let mut budget = RetryBudget::new(DEFAULT_RETRY_BUDGET, 1);
+    expect_that!(budget.retry(now, attempt(false, TimeMs(9000))), none());
+    expect_that!(budget.retry(now, attempt(true, TimeMs(1010))), none());
+    expect_that!(
+        budget.retry(now, attempt(true, TimeMs(9000))),
+        some(anything())
+    );
+    let mut none_allowed = RetryBudget::new(PerMille(0), 1);
+    none_allowed.record_request(now);
+    expect_that!(none_allowed.retry(now, attempt(true, TimeMs(9000))), none());
+}
