--- a/crates/admission/benches/admission.rs
+++ b/crates/admission/benches/admission.rs
@@ -44,7 +44,7 @@
 }
 
 const fn kind_of(id: u64) -> WorkKind {
-    if id % 2 == 0 {
+    if id.is_multiple_of(2) {
         WorkKind::Reservation
     } else {
         WorkKind::Sheet
