Test the membership under random faults and measure it

Cause: views had been tested in the usual course only, and nothing showed the cost at design size. `examples/capacity` runs the real machines at any size. Entries that a starting balancer alone is missing are no longer gossiped by it, and siblings come from an index instead of a scan of all endpoints for each heartbeat.

--- /dev/null
+++ b/crates/membership/examples/capacity.rs
@@ -0,0 +1,484 @@
+//! Measures the state machines at a given size in one process, over an in-memory network:
+//! `cargo run --release -p hawthorntide-membership --example capacity -- BALANCERS ENDPOINTS PART...`
+//!
+//! Parts: `steady`, `changes`, `pauses`, `domain`, `split`, `encoding`. Bytes include 28 bytes of
+//! IP and UDP header for each datagram.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Instant;
+
+use hawthorntide_membership::{AnnounceEvent, Endpoint, GossipMachine};
+use hawthorntide_types::{EndpointId, Phase};
+use hawthorntide_wire::control;
+use prost::Message;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{Faults, Network, Traffic};
+
+/// Failure domains with their regions.
+const DOMAINS: [(&str, &str); 5] = [
+    ("bzh-rns", "west"),
+    ("bzh-brs", "west"),
+    ("bzh-vns", "west"),
+    ("add-bole", "east"),
+    ("add-arada", "east"),
+];
+/// Endpoints of one service, as in the design size.
+const ENDPOINTS_PER_SERVICE: usize = 2;
+/// Headers of IPv4 and UDP.
+const PACKET_HEADER_BYTES: u64 = 28;
+const STEADY_MS: u64 = 60_000;
+/// Configuration changes a day at the design size.
+const CHANGES_PER_DAY: u64 = 4_200;
+/// Restarts a day at the design size of 6,710 processes.
+const RESTARTS_PER_DAY: u64 = 675;
+const DAY_MS: u64 = 24 * 60 * 60 * 1000;
+const PROFILE_BYTES: usize = 1_500;
+
+struct Bench {
+    network: Network,
+    balancers: usize,
+    endpoints: usize,
+    rng: ChaCha8Rng,
+    version: u64,
+    started: Instant,
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let balancers = number(arguments.next(), 50);
+    let endpoints = number(arguments.next(), 350);
+    let parts: Vec<String> = arguments.collect();
+    if parts.iter().any(|part| part == "encoding") {
+        compare_encodings();
+    }
+    let needs_network = parts.iter().any(|part| part != "encoding");
+    if !needs_network {
+        return;
+    }
+    let mut bench = Bench::start(balancers, endpoints);
+    for part in &parts {
+        match part.as_str() {
+            "steady" => bench.measure_steady(),
+            "changes" => bench.measure_changes(),
+            "pauses" => bench.measure_pauses(),
+            "domain" => bench.measure_domain(),
+            "split" => bench.measure_split(),
+            _ => {}
+        }
+    }
+}
+
+fn number(text: Option<String>, otherwise: usize) -> usize {
+    text.and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+}
+
+impl Bench {
+    fn start(balancers: usize, endpoints: usize) -> Self {
+        let mut network = Network::new(7);
+        network.faults = Faults {
+            max_delay_ms: 3,
+            ..Faults::NONE
+        };
+        let memory = resident_bytes();
+        let started = Instant::now();
+        let seeds = [0, 1, 2];
+        for index in 0..balancers {
+            let (domain, region) = DOMAINS[index % DOMAINS.len()];
+            network.add_balancer(domain, region, &seeds);
+            network.run_for(10_000 / balancers as u64);
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        for index in 0..endpoints {
+            let (domain, _) = DOMAINS[index % DOMAINS.len()];
+            let service = format!("s{}", index / ENDPOINTS_PER_SERVICE);
+            let first: Vec<usize> = (0..balancers).choose_multiple(&mut rng, 3);
+            network.add_agent(&service, domain, &first);
+            if index % 64 == 0 {
+                network.run_for(200);
+            }
+        }
+        let mut bench = Self {
+            network,
+            balancers,
+            endpoints,
+            rng,
+            version: 0,
+            started,
+        };
+        bench.network.run_for(60_000);
+        let taken = bench.network.run_until(120_000, Network::is_converged);
+        bench.report(format!(
+            "start: all views equal {} after 60 s of start",
+            show(taken)
+        ));
+        let grown = resident_bytes().saturating_sub(memory);
+        let per_node = grown / balancers as u64 / 1024;
+        bench.report(format!(
+            "memory: {per_node} KiB per balancer, agents and network included"
+        ));
+        bench
+    }
+
+    fn report(&self, text: String) {
+        println!(
+            "{}x{} [{:>4} s] {text}",
+            self.balancers,
+            self.endpoints,
+            self.started.elapsed().as_secs()
+        );
+    }
+
+    /// Traffic and processor time with changes and restarts at the rate of the design size.
+    fn measure_steady(&mut self) {
+        self.reset_traffic();
+        self.network.measures = true;
+        let scale = (self.balancers + self.endpoints) as u64;
+        let restarts = RESTARTS_PER_DAY * scale * STEADY_MS / (6_710 * DAY_MS);
+        let changes = CHANGES_PER_DAY * STEADY_MS / DAY_MS;
+        let events = restarts.max(1) + changes;
+        for event in 0..events {
+            if event < changes {
+                self.put_profile();
+            } else {
+                self.restart_agent();
+            }
+            self.network.run_for(STEADY_MS / events);
+        }
+        self.network.measures = false;
+        let text = format!(
+            "steady: {changes} changes and {} restarts in 60 s",
+            events - changes
+        );
+        self.report(text);
+        self.report_traffic("balancer", 0..self.balancers);
+        self.report_traffic("agent", self.balancers..self.balancers + self.endpoints);
+    }
+
+    fn reset_traffic(&mut self) {
+        for process in &mut self.network.processes {
+            process.traffic = Traffic::default();
+        }
+    }
+
+    fn report_traffic(&self, role: &str, processes: std::ops::Range<usize>) {
+        let seconds = STEADY_MS as f64 / 1000.0;
+        let all = &self.network.processes[processes];
+        let sent = |traffic: &Traffic| {
+            (traffic.sent_bytes + traffic.sent_messages * PACKET_HEADER_BYTES) as f64 / seconds
+        };
+        let received = |traffic: &Traffic| {
+            let headers = traffic.received_messages * PACKET_HEADER_BYTES;
+            (traffic.received_bytes + headers) as f64 / seconds
+        };
+        let processor = |traffic: &Traffic| traffic.processor.as_secs_f64() / seconds * 100.0;
+        let mean = |value: &dyn Fn(&Traffic) -> f64| {
+            let values = all.iter().map(|process| value(&process.traffic));
+            values.sum::<f64>() / all.len() as f64
+        };
+        let worst = |value: &dyn Fn(&Traffic) -> f64| {
+            let values = all.iter().map(|process| value(&process.traffic));
+            values.fold(0.0, f64::max)
+        };
+        let both = |traffic: &Traffic| sent(traffic) + received(traffic);
+        self.report(format!(
+            "{role}: sent {:.0} B/s mean {:.0} worst, received {:.0} mean {:.0} worst, \
+             sum {:.0} mean {:.0} worst; processor {:.4} % mean {:.4} % worst; {:.1} messages/s sent",
+            mean(&sent),
+            worst(&sent),
+            mean(&received),
+            worst(&received),
+            mean(&both),
+            worst(&both),
+            mean(&processor),
+            worst(&processor),
+            mean(&|traffic| traffic.sent_messages as f64 / seconds),
+        ));
+    }
+
+    fn put_profile(&mut self) -> (String, u64) {
+        self.version += 1;
+        let name = format!("p{}", self.version % 20);
+        let at = self.rng.random_range(0..self.balancers);
+        self.network
+            .put_object(at, &name, self.version, PROFILE_BYTES);
+        (name, self.version)
+    }
+
+    fn any_agent(&mut self) -> usize {
+        let agents = self.network.agents();
+        *agents.choose(&mut self.rng).expect("agents are running")
+    }
+
+    fn restart_agent(&mut self) {
+        let agent = self.any_agent();
+        self.network.announce_event(agent, AnnounceEvent::Leave);
+        self.network.kill(agent);
+        self.network.run_for(500);
+        self.network.start(agent, &[0, 1, 2]);
+    }
+
+    /// Times until a change, a drain and a death are known by every balancer.
+    fn measure_changes(&mut self) {
+        let mut worst = [0, 0, 0];
+        for _ in 0..5 {
+            let (name, version) = self.put_profile();
+            let taken = self.network.run_until(30_000, |network| {
+                everywhere(network, |view| {
+                    view.replica().version("profile", &name).get() >= version
+                })
+            });
+            worst[0] = worst[0].max(taken.unwrap_or(30_000));
+            let agent = self.any_agent();
+            let id = endpoint_of(&self.network, agent);
+            let recent_balancers = Vec::new();
+            self.network
+                .announce_event(agent, AnnounceEvent::Drain { recent_balancers });
+            let taken = self.network.run_until(30_000, |network| {
+                everywhere(network, |view| {
+                    view.endpoint(id)
+                        .is_some_and(|held| held.phase == Phase::Draining)
+                })
+            });
+            worst[1] = worst[1].max(taken.unwrap_or(30_000));
+            let agent = self.any_agent();
+            let id = endpoint_of(&self.network, agent);
+            self.network.kill(agent);
+            let taken = self.network.run_until(30_000, |network| {
+                everywhere(network, |view| {
+                    view.endpoint(id)
+                        .is_some_and(|held| !held.takes_new_flows())
+                })
+            });
+            worst[2] = worst[2].max(taken.unwrap_or(30_000));
+        }
+        let [change, drain, death] = worst;
+        self.report(format!(
+            "changes: worst of 5: profile of {PROFILE_BYTES} B everywhere {change} ms, \
+             drain {drain} ms, dead endpoint out {death} ms"
+        ));
+    }
+
+    /// Removals of live members at 1 % loss while processes pause for 2 s.
+    fn measure_pauses(&mut self) {
+        let duration_ms = 3_600_000 / (1 + self.balancers as u64 * self.endpoints as u64 / 20_000);
+        self.network.faults.loss_per_mille = 10;
+        let before = self.removals();
+        let mut pauses = 0;
+        let end = self.network.now + duration_ms;
+        while self.network.now < end {
+            // One process of each role per second.
+            let balancer = self.rng.random_range(0..self.balancers);
+            self.network.pause(balancer, 2_000);
+            let agent = self.any_agent();
+            self.network.pause(agent, 2_000);
+            pauses += 2;
+            self.network.run_for(1_000);
+        }
+        self.network.faults.loss_per_mille = 0;
+        self.report(format!(
+            "pauses: {} removals in {} s at 1 % loss with {pauses} pauses of 2 s",
+            self.removals() - before,
+            duration_ms / 1000
+        ));
+        self.network.run_for(20_000);
+    }
+
+    fn removals(&self) -> u64 {
+        let balancers = self.network.balancers();
+        let counts = balancers
+            .iter()
+            .map(|index| self.network.gossip(*index).counters().removals);
+        counts.sum()
+    }
+
+    /// Death of everything in one failure domain.
+    fn measure_domain(&mut self) {
+        let (lost, _) = DOMAINS[4];
+        let processes = 0..self.network.processes.len();
+        let dead: Vec<usize> = processes
+            .filter(|index| self.network.processes[*index].failure_domain == lost)
+            .collect();
+        let ids: Vec<EndpointId> = dead
+            .iter()
+            .filter(|index| **index >= self.balancers)
+            .map(|index| endpoint_of(&self.network, *index))
+            .collect();
+        let before = self.bytes();
+        for index in &dead {
+            self.network.kill(*index);
+        }
+        let start = self.network.now;
+        let taken = self.network.run_until(120_000, |network| {
+            everywhere(network, |view| {
+                let is_out = |id: &EndpointId| {
+                    view.endpoint(*id)
+                        .is_none_or(|held| !held.takes_new_flows())
+                };
+                ids.iter().all(is_out)
+            })
+        });
+        let seconds = (self.network.now - start).max(1) as f64 / 1000.0;
+        let rate = (self.bytes() - before) as f64 / seconds / self.balancers as f64;
+        self.report(format!(
+            "domain: {} dead endpoints out everywhere after {}, live ones removed {}; {rate:.0} B/s \
+             sent per balancer",
+            ids.len(),
+            show(taken),
+            self.missing_live()
+        ));
+        for index in dead {
+            self.network.start(index, &[0, 1, 2]);
+        }
+        self.network.run_for(60_000);
+        let taken = self.network.run_until(120_000, Network::is_converged);
+        self.report(format!(
+            "domain: equal views {} after 60 s of return",
+            show(taken)
+        ));
+    }
+
+    fn bytes(&self) -> u64 {
+        let balancers = &self.network.processes[..self.balancers];
+        balancers
+            .iter()
+            .map(|process| process.traffic.sent_bytes)
+            .sum()
+    }
+
+    /// Returns how many live endpoints some live balancer holds to be out.
+    fn missing_live(&self) -> usize {
+        let is_missing = |agent: &usize| {
+            let id = endpoint_of(&self.network, *agent);
+            let is_serving = self.network.announce(*agent).own().phase == Phase::Serving;
+            let takes = everywhere(&self.network, |view| {
+                view.endpoint(id).is_some_and(Endpoint::takes_new_flows)
+            });
+            is_serving && !takes
+        };
+        let agents = self.network.agents();
+        agents.iter().filter(|agent| is_missing(agent)).count()
+    }
+
+    /// Two regions that lose contact for two minutes.
+    fn measure_split(&mut self) {
+        for process in &mut self.network.processes {
+            let domain = DOMAINS
+                .iter()
+                .find(|domain| domain.0 == process.failure_domain);
+            process.group = u8::from(domain.is_some_and(|domain| domain.1 == "east"));
+        }
+        self.network.run_for(120_000);
+        let out = self.missing_live();
+        for process in &mut self.network.processes {
+            process.group = 0;
+        }
+        let before = self.bytes();
+        let start = self.network.now;
+        let back = self.network.run_until(300_000, Network::is_converged);
+        let seconds = (self.network.now - start).max(1) as f64 / 1000.0;
+        let rate = (self.bytes() - before) as f64 / seconds / self.balancers as f64;
+        let missing = self.missing_live();
+        self.report(format!(
+            "split: {out} endpoints out on the other side; equal views {} after the heal, live ones \
+             removed {missing}; {rate:.0} B/s sent per balancer",
+            show(back)
+        ));
+    }
+}
+
+fn everywhere(network: &Network, check: impl Fn(&GossipMachine) -> bool) -> bool {
+    let balancers = network.balancers();
+    balancers.iter().all(|index| check(network.gossip(*index)))
+}
+
+fn endpoint_of(network: &Network, agent: usize) -> EndpointId {
+    let mut data = network.processes[agent].address;
+    data.set_port(data.port() + 1);
+    EndpointId::of_address(data)
+}
+
+fn show(taken: Option<u64>) -> String {
+    taken.map_or_else(|| "not in time".to_owned(), |taken| format!("{taken} ms"))
+}
+
+fn resident_bytes() -> u64 {
+    let Ok(text) = std::fs::read_to_string("/proc/self/statm") else {
+        return 0;
+    };
+    let pages = text.split(' ').nth(1);
+    let pages = pages.and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or_default() * 4096
+}
+
+/// Compares judgements in shared columns with one record or one small message for each.
+fn compare_encodings() {
+    let count = 40;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let base: u64 = 1_780_000_000_000;
+    let mut members: Vec<(u64, u64)> = (0..count)
+        .map(|_| {
+            let id = rng.random::<u64>() >> 16;
+            (id, base + rng.random_range(0..86_400_000))
+        })
+        .collect();
+    members.sort_by_key(|member| member.1);
+    let mut columns = control::Judgements::default();
+    let mut last = 0;
+    for (id, incarnation) in &members {
+        columns.ids.push(*id);
+        columns.incarnation_deltas.push(*incarnation as i64 - last);
+        columns.states.push(3 << 3 | 2);
+        last = *incarnation as i64;
+    }
+    let record = |incarnation: u64| control::EndpointRecord {
+        incarnation,
+        revision: 3,
+        service_id: 1 << 60,
+        data_address: Some(control::Address {
+            ip: vec![10, 0, 0, 1],
+            port: 7001,
+        }),
+        control_address: Some(control::Address {
+            ip: vec![10, 0, 0, 1],
+            port: 7000,
+        }),
+        phase: 1,
+        weight_per_mille: 1000,
+        slots: 4,
+        failure_domain: "bzh-rns".to_owned(),
+        health: 2,
+        homes: vec![1 << 30, 1 << 30],
+        tombstone_age_s: 0,
+    };
+    // A datagram of its own: headers of packet and envelope, and the framing of the message.
+    let alone = PACKET_HEADER_BYTES as usize + 45 + 6;
+    let sizes = || members.iter().map(|member| record(member.1).encoded_len());
+    let plain: usize = sizes().map(|size| size + alone).sum();
+    let batched: usize = sizes().map(|size| size + 3).sum();
+    let packed = columns.encoded_len();
+    println!(
+        "encoding: per removal: plain message {} B, record in a batch {} B, packed columns {:.1} B",
+        plain / count,
+        (batched + alone) / count,
+        (packed + alone) as f64 / count as f64
+    );
+    let short = control::Heartbeat {
+        endpoint: None,
+        revision: 6,
+        configuration_hash: 1 << 30,
+        peers_hash: 1 << 30,
+    };
+    let whole = control::Heartbeat {
+        endpoint: Some(record(base)),
+        ..short.clone()
+    };
+    println!(
+        "encoding: heartbeat with record {} B, short {} B, with packet and envelope headers",
+        whole.encoded_len() + alone,
+        short.encoded_len() + alone
+    );
+}
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -25,6 +25,7 @@
     pack_all, read_judgements,
 };
 use crate::probe::Probing;
+use crate::service_index::ServiceIndex;
 use crate::sync::Sync;
 use crate::updates::{Item, Updates, send_limit};
 use crate::view::{Merge, Table};
@@ -209,6 +210,7 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) balancers: Table<BalancerMember>,
     pub(crate) endpoints: Table<Endpoint>,
+    pub(crate) services: ServiceIndex,
     pub(crate) replica: Replica,
     pub(crate) updates: Updates,
     pub(crate) fetches: Fetches,
@@ -252,6 +254,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             balancers: Table::new(MAX_BALANCERS),
             endpoints: Table::new(MAX_ENDPOINTS),
+            services: ServiceIndex::default(),
             replica: Replica::default(),
             updates: Updates::default(),
             fetches: Fetches::default(),
@@ -567,6 +570,8 @@
         gossip: control::Gossip,
         out: &mut Vec<GossipAction>,
     ) {
+        let queued = gossip.is_catch_up.then(|| self.updates.clone());
+        let own_stamp = self.own.stamp;
         for record in &gossip.balancers {
             let age = DurationMs(u64::from(record.tombstone_age_s) * 1000);
             match balancer_from_wire(record) {
@@ -589,6 +594,13 @@
         for object in gossip.objects {
             self.take_object(from, object, out);
         }
+        if let Some(queued) = queued {
+            // The others have these entries; telling them again would cost a start megabytes.
+            self.updates = queued;
+            if self.own.stamp != own_stamp {
+                self.updates.push(Item::Balancer(self.own.id.get()));
+            }
+        }
     }
 
     fn take_object(
@@ -668,8 +680,14 @@
         out: &mut Vec<GossipAction>,
     ) {
         let key = endpoint.id.get();
+        let (id, service) = (endpoint.id, endpoint.service);
+        let earlier = self.endpoints.get(key).map(|held| held.service);
         match self.endpoints.merge(endpoint, age, self.now) {
             Merge::Newer => {
+                if let Some(earlier) = earlier {
+                    self.services.remove(earlier, id);
+                }
+                self.services.insert(service, id);
                 self.updates.push(Item::Endpoint(key));
                 self.updates.remove(Item::EndpointHealth(key));
                 self.report_endpoint(key, out);
@@ -755,7 +773,8 @@
         }
         self.expire_at = self.now + EXPIRE_MS;
         self.balancers.expire(self.now);
-        for key in self.endpoints.expire(self.now) {
+        for (key, record) in self.endpoints.expire(self.now) {
+            self.services.remove(record.service, record.id);
             out.push(GossipAction::EndpointForgotten(EndpointId(key)));
         }
     }
@@ -785,6 +804,19 @@
         }
     }
 
+    /// Sends whole entries that only the receiver is missing, such as after its start.
+    pub(crate) fn send_catch_up(
+        &self,
+        to: SocketAddr,
+        items: impl IntoIterator<Item = Item>,
+        out: &mut Vec<GossipAction>,
+    ) {
+        for mut gossip in pack_all(items, &self.sources(), ANSWER_INLINE_BYTES) {
+            gossip.is_catch_up = true;
+            send(out, to, Body::Gossip(gossip));
+        }
+    }
+
     /// Sends whole entries to one process.
     pub(crate) fn send_items(
         &self,
--- a/crates/membership/src/homes.rs
+++ b/crates/membership/src/homes.rs
@@ -158,11 +158,10 @@
             .filter(|balancer| balancer.is_home_candidate());
         let balancers = choose(held.id, candidates, TOLD_BALANCERS);
         let mut siblings: Vec<&Endpoint> = self
-            .endpoints
-            .records()
-            .filter(|other| {
-                other.service == held.service && other.id != held.id && !other.is_tombstone()
-            })
+            .services
+            .of(held.service)
+            .filter_map(|id| self.endpoints.get(id.get()))
+            .filter(|other| other.id != held.id && !other.is_tombstone())
             .collect();
         siblings.sort_by_key(|other| rank(held.id, NodeId(other.id.get())));
         siblings.truncate(TOLD_SIBLINGS);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,6 +12,7 @@
 mod pack;
 mod probe;
 mod rendezvous;
+mod service_index;
 mod sync;
 mod updates;
 mod view;
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -138,7 +138,7 @@
     ) {
         if is_empty_there {
             let items = summaries.iter().map(|summary| summary.item);
-            self.send_items(to.address, items, out);
+            self.send_catch_up(to.address, items, out);
             return;
         }
         let mut from_key = 0;
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -113,8 +113,8 @@
         Merge::Newer
     }
 
-    /// Drops tombstones that are no longer needed and returns their keys.
-    pub(crate) fn expire(&mut self, now: TimeMs) -> Vec<u64> {
+    /// Drops tombstones that are no longer needed and returns them with their keys.
+    pub(crate) fn expire(&mut self, now: TimeMs) -> Vec<(u64, R)> {
         let is_expired = |entry: &Entry<R>| {
             entry
                 .gone_since
@@ -128,7 +128,7 @@
             }
             let key = entry.record.key();
             buckets[bucket_of(key)] ^= entry.hash;
-            expired.push(key);
+            expired.push((key, entry.record.clone()));
             false
         });
         if !expired.is_empty() {
