Connect the balancer with the administration API and the store

The control plane had no way to the store, so that an operator's change could not be made or spread. The operations write through the store and hand accepted versions to gossip at once; the link drives the watcher slots and passes on what the store's watches tell.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -4,6 +4,10 @@
 mod codec;
 mod control;
 mod forward;
+mod operations;
+mod store_link;
 
 pub use balancer::{Balancer, BalancerError, BalancerOptions, BalancerReport, Ingress};
 pub use control::{ControlHandle, MembershipView};
+pub use operations::BalancerOperations;
+pub use store_link::StoreLink;
--- /dev/null
+++ b/crates/balancer/tests/operations.rs
@@ -0,0 +1,194 @@
+//! Guards how operators' changes reach every balancer, with a real store API and real sockets.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use hawthorntide_admin::{AdminOptions, AdminServer, Operations};
+use hawthorntide_balancer::{Balancer, BalancerOperations, BalancerOptions, Ingress, StoreLink};
+use hawthorntide_configuration::{Team, TeamServices};
+use hawthorntide_emulator::{StoreFaults, StoreServer, StoreServerOptions};
+use hawthorntide_platform::{ObjectKey, ObjectKind, ObjectStore, StoreOptions, WriteOutcome};
+use hawthorntide_routing::{KEY_BYTES, KeyRing, RoutingKey};
+use hawthorntide_types::{Incarnation, NodeId, Version};
+use hawthorntide_wire::{ClusterKey, ControlCodec};
+use reqwest::{Client, RequestBuilder};
+use serde_json::{Value, json};
+use tokio_util::sync::CancellationToken;
+
+const PROFILE: &str = include_str!("../../configuration/tests/profile.json");
+/// Target of the design for a change to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+struct Node {
+    balancer: Balancer,
+    operations: Arc<BalancerOperations>,
+    admin: AdminServer,
+}
+
+struct Deployment {
+    server: StoreServer,
+    nodes: Vec<Node>,
+    client: Client,
+    stop: CancellationToken,
+}
+
+async fn deployment(domains: &[&str]) -> Deployment {
+    let address = "127.0.0.1:0".parse().unwrap();
+    let server = StoreServer::bind(address, StoreServerOptions::default()).unwrap();
+    let mut deployment = Deployment {
+        server,
+        nodes: Vec::new(),
+        client: Client::builder().no_proxy().build().unwrap(),
+        stop: CancellationToken::new(),
+    };
+    for domain in domains {
+        let node = deployment.start(domain).await;
+        deployment.nodes.push(node);
+    }
+    deployment
+}
+
+impl Deployment {
+    async fn start(&self, domain: &str) -> Node {
+        let loopback = "127.0.0.1:0".parse().unwrap();
+        let store = ObjectStore::open(self.server.address(), StoreOptions::default()).unwrap();
+        let store = Arc::new(store);
+        let options = BalancerOptions {
+            failure_domain: domain.parse().unwrap(),
+            region: "bzh".parse().unwrap(),
+            data_address: loopback,
+            control_address: loopback,
+            ingress: Ingress::Socket,
+            services: Vec::new(),
+            peers: self
+                .nodes
+                .iter()
+                .map(|it| it.balancer.control_address())
+                .collect(),
+            admin_address: None,
+            control: ControlCodec::new("test", ClusterKey::new([1; 32])),
+            keys: KeyRing::new(RoutingKey::new(1, [2; KEY_BYTES]), None).unwrap(),
+            incarnation: Incarnation(1 + self.nodes.len() as u64),
+        };
+        let balancer = Balancer::spawn(options).await.unwrap();
+        let node = NodeId::of_address(balancer.control_address());
+        let operations =
+            BalancerOperations::new(node, balancer.control(), Arc::clone(&store), None);
+        let operations = Arc::new(operations);
+        let domain = domain.parse().unwrap();
+        let link = StoreLink::new(node, domain, balancer.control(), store, self.stop.clone());
+        tokio::spawn(link.run());
+        let team = Team {
+            name: "ops".to_owned(),
+            token_hash: *blake3::hash(b"token").as_bytes(),
+            services: TeamServices::All,
+        };
+        let options = AdminOptions {
+            teams: vec![team],
+            ..AdminOptions::default()
+        };
+        let shared = Arc::<BalancerOperations>::clone(&operations);
+        let admin = AdminServer::bind(loopback, options, shared).await.unwrap();
+        Node {
+            balancer,
+            operations,
+            admin,
+        }
+    }
+
+    fn url(&self, node: usize, path: &str) -> String {
+        format!("http://{}{path}", self.nodes[node].admin.address())
+    }
+
+    async fn send(&self, request: RequestBuilder) -> (u16, Value) {
+        let response = request.bearer_auth("token").send().await.unwrap();
+        let status = response.status().as_u16();
+        (status, response.json().await.unwrap_or_default())
+    }
+
+    async fn get(&self, node: usize, path: &str) -> (u16, Value) {
+        self.send(self.client.get(self.url(node, path))).await
+    }
+
+    /// Waits until every node has `version` of the profile in force.
+    async fn wait_for(&self, version: u64) -> Duration {
+        let start = Instant::now();
+        for node in 0..self.nodes.len() {
+            while self.get(node, "/v1/profiles/day").await.1["version"] != version {
+                assert!(start.elapsed() < Duration::from_secs(20), "node {node}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        start.elapsed()
+    }
+}
+
+// Guards against an accepted change that stays at one balancer or reverts when the store goes down
+// right after the write.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_change_is_in_force_everywhere_and_stays() {
+    let d = deployment(&["bzh-rns", "bzh-brs", "bzh-vns"]).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let create = d.client.post(d.url(0, "/v1/profiles")).body(PROFILE);
+    let (status, created) = d.send(create).await;
+    expect_that!(status, eq(200), "{created}");
+    d.server.handle().set_faults(StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    });
+    let version = created["version"].as_u64().unwrap();
+    expect_that!(d.wait_for(version).await, lt(IN_FORCE));
+    let path = format!("/v1/confirmations/profile/day?version={version}&wait_ms=4000");
+    let (_, confirmation) = d.get(1, &path).await;
+    expect_that!(confirmation["confirmed"].as_array().unwrap().len(), eq(3));
+    expect_that!(confirmation["missing"], eq(&json!([])));
+    let update = d.client.put(d.url(1, "/v1/profiles/day")).body(PROFILE);
+    let (status, refused) = d.send(update.header("if-match", version)).await;
+    expect_that!(status, eq(503), "{refused}");
+    expect_that!(refused["code"], eq(&json!(54)));
+    d.wait_for(version).await;
+    let (_, status) = d.get(2, "/v1/status").await;
+    expect_that!(status["balancers"].as_array().unwrap().len(), eq(3));
+}
+
+// Guards against a change in the store that only its author knows, and against a watch per balancer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_of_the_store_arrive_through_two_watchers() {
+    let d = deployment(&["bzh-rns", "bzh-rns", "bzh-rns", "bzh-rns"]).await;
+    // The slots are taken 5 s after no balancer claims them.
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    let store = ObjectStore::open(d.server.address(), StoreOptions::default()).unwrap();
+    let before = d.server.handle().counts();
+    let profile = hawthorntide_configuration::check_profile(PROFILE, "p").unwrap();
+    let profile = serde_json::to_value(profile).unwrap();
+    let key = ObjectKey::new(ObjectKind::Profile, "day").unwrap();
+    let outcome = store.put_if(&key, &profile, Version::NONE).await;
+    let WriteOutcome::Accepted(version) = outcome else {
+        panic!("expected an accepted write, got {outcome:?}");
+    };
+    expect_that!(d.wait_for(version.get()).await, lt(IN_FORCE));
+    let (_, status) = d.get(0, "/v1/status").await;
+    expect_that!(status["versions"][0]["version"], eq(&json!(version)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let after = d.server.handle().counts();
+    // Each of the two watchers comes back after an event.
+    expect_that!(after.watch - before.watch, le(6));
+    expect_that!(after.list, le(4 + 2));
+}
+
+// Guards against a drain that is asked for and not begun.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_reaches_the_process() {
+    let d = deployment(&["bzh-rns"]).await;
+    let (status, _) = d.send(d.client.post(d.url(0, "/v1/drain"))).await;
+    expect_that!(status, eq(202));
+    let asked = d.nodes[0].operations.drain_requested();
+    let asked = tokio::time::timeout(Duration::from_secs(1), asked).await;
+    expect_that!(asked, ok(anything()));
+    expect_that!(d.nodes[0].operations.phase().takes_new_flows(), eq(false));
+    expect_that!(d.get(0, "/v1/ready").await.0, eq(503));
+}
