--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -11,12 +11,13 @@
 use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
 use hawthorntide_wire::ControlCodec;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::control::{Command, ControlHandle, ControlPlane, MAX_COMMANDS};
 use crate::forward;
+use crate::service_sockets::{ServiceSockets, SocketContext};
 
 /// Time without packets after which a draining balancer ends.
 const QUIET: Duration = Duration::from_secs(2);
@@ -99,6 +100,8 @@
     pub(crate) packets_replied: AtomicU64,
     pub(crate) packets_dropped: AtomicU64,
     pub(crate) stop: CancellationToken,
+    /// Notified when the set of services or their addresses may have changed.
+    pub(crate) services_changed: Notify,
     /// Set when the stop is not to be announced.
     pub(crate) is_killed: AtomicBool,
 }
@@ -139,32 +142,32 @@
             packets_replied: AtomicU64::new(0),
             packets_dropped: AtomicU64::new(0),
             stop: CancellationToken::new(),
+            services_changed: Notify::new(),
             is_killed: AtomicBool::new(false),
         });
         let tasks = TaskTracker::new();
-        let mut service_sockets = Vec::new();
+        let sockets = Arc::new(ServiceSockets::default());
+        let context = SocketContext {
+            shared: Arc::clone(&shared),
+            data: Arc::clone(&data),
+            sockets: Arc::clone(&sockets),
+            tasks: tasks.clone(),
+        };
         if options.ingress == Ingress::Socket {
-            for address in options
-                .services
-                .iter()
-                .flat_map(|service| &service.addresses)
-            {
-                service_sockets.push((*address, Arc::new(bind(*address).await?)));
+            for service in &options.services {
+                for address in &service.addresses {
+                    let opened = context.open(*address).await;
+                    opened.map_err(|source| BalancerError::Bind {
+                        address: *address,
+                        source,
+                    })?;
+                }
             }
         }
-        for (address, socket) in &service_sockets {
-            let run = forward::from_callers(
-                Arc::clone(&shared),
-                *address,
-                Arc::clone(socket),
-                Arc::clone(&data),
-            );
-            tasks.spawn(run);
-        }
         tasks.spawn(forward::from_data_socket(
             Arc::clone(&shared),
             data,
-            service_sockets,
+            sockets,
         ));
         let identity = BalancerIdentity {
             incarnation: options.incarnation,
@@ -183,6 +186,9 @@
             received,
         );
         tasks.spawn(plane.run(options.peers));
+        if options.ingress == Ingress::Socket {
+            tasks.spawn(context.follow(ControlHandle::new(commands.clone())));
+        }
         log::info!(
             "balancer: Node {} forwards at {data_address}.",
             NodeId::of_address(control_address)
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -329,6 +329,7 @@
     if object.kind != SERVICE_KIND {
         return;
     }
+    shared.services_changed.notify_one();
     let mut table = shared.table.write().unwrap_or_else(PoisonError::into_inner);
     if object.is_deleted {
         if let Ok(name) = object.name.parse::<ServiceName>() {
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -8,28 +8,28 @@
 use hawthorntide_types::{ResultCode, ServiceId};
 use hawthorntide_wire::{ForwardHeader, ForwardKind, HEADER_BYTES};
 use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
 
 use crate::balancer::{Ingress, Shared};
 use crate::codec::TaskCodec;
+use crate::service_sockets::ServiceSockets;
 
 /// Largest datagram that is received.
 const MAX_DATAGRAM_BYTES: usize = 2048;
 
-/// Sockets by the service address that they are bound to.
-pub(crate) type ServiceSockets = Vec<(SocketAddr, Arc<UdpSocket>)>;
-
 /// Forwards packets that arrive at a service address.
 pub(crate) async fn from_callers(
     shared: Arc<Shared>,
     service_address: SocketAddr,
     socket: Arc<UdpSocket>,
     data: Arc<UdpSocket>,
+    stop: CancellationToken,
 ) {
     let mut codec = TaskCodec::new(shared.codec.subscribe());
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let received = tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = stop.cancelled() => return,
             received = socket.recv_from(&mut buffer[HEADER_BYTES..]) => received,
         };
         // An ICMP answer to an earlier packet surfaces here and concerns no later packet.
@@ -46,7 +46,7 @@
 pub(crate) async fn from_data_socket(
     shared: Arc<Shared>,
     data: Arc<UdpSocket>,
-    sockets: ServiceSockets,
+    sockets: Arc<ServiceSockets>,
 ) {
     let mut codec = TaskCodec::new(shared.codec.subscribe());
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
@@ -150,12 +150,10 @@
     let sent = match shared.ingress {
         Ingress::Encapsulated { fabric_address } => data.send_to(datagram, fabric_address).await,
         Ingress::Socket => {
-            let index = sockets.binary_search_by_key(&header.service_address, |entry| entry.0);
-            let Ok(index) = index else {
+            let Some(socket) = sockets.find(header.service_address) else {
                 return drop_packet(shared, ResultCode::SourceUnknown);
             };
-            sockets[index]
-                .1
+            socket
                 .send_to(&datagram[HEADER_BYTES..], header.caller)
                 .await
         }
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,6 +5,7 @@
 mod control;
 mod forward;
 mod operations;
+mod service_sockets;
 mod store_link;
 
 pub use balancer::{Balancer, BalancerError, BalancerOptions, BalancerReport, Ingress};
--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,125 @@
+//! Command `agent`: runs an agent until it is told to stop.
+
+use std::path::Path;
+
+use hawthorntide_admin::install_metrics;
+use hawthorntide_agent::{Agent, AgentError, AgentOptions, AgentTls};
+use hawthorntide_configuration::{AgentSettings, Settings, TlsMaterial, open};
+use hawthorntide_types::{
+    DurationMs, PerMille, Profile, RatePerSecond, ResultCode, Treatment, Urgency, WorkKind,
+    WorkProfile,
+};
+use hawthorntide_wire::ControlCodec;
+
+use crate::cli::RoleArguments;
+use crate::failure::Failure;
+use crate::{logging, role, signal};
+
+pub(crate) fn run(arguments: &RoleArguments) -> Result<ResultCode, Failure> {
+    let settings = settings(&arguments.settings)?;
+    let log = logging::start(settings.log)?;
+    install_metrics();
+    let runtime = role::runtime(settings.worker_count)?;
+    let code = runtime.block_on(serve(&settings, &arguments.settings));
+    runtime.shutdown_background();
+    log.shutdown();
+    code
+}
+
+fn settings(path: &Path) -> Result<AgentSettings, Failure> {
+    match open(path).map_err(role::problems)? {
+        Settings::Agent(settings) => Ok(*settings),
+        Settings::Balancer(_) => Err(role::wrong_role(path, "agent")),
+    }
+}
+
+async fn serve(settings: &AgentSettings, path: &Path) -> Result<ResultCode, Failure> {
+    let agent = Agent::spawn(options(settings)?).await.map_err(failure)?;
+    let mut stops = signal::Stops::open()?;
+    let mut reloads = signal::Reloads::open()?;
+    loop {
+        tokio::select! {
+            () = stops.next() => break,
+            () = reloads.next() => match reload(&agent, path) {
+                Ok(()) => log::info!("agent: Keys and certificate renewed."),
+                Err(failure) => log::error!("agent: Keys and certificate not renewed: {failure}."),
+            },
+        }
+    }
+    let report = agent.drain(settings.drain_limit_ms).await;
+    log::info!(
+        "agent: Ended; {} flows and {} requests were open.",
+        report.open_flows,
+        report.requests_in_progress
+    );
+    Ok(ResultCode::Ok)
+}
+
+/// Takes new keys and a new certificate; a broken file leaves those in force.
+fn reload(agent: &Agent, path: &Path) -> Result<(), Failure> {
+    let settings = settings(path)?;
+    let keys = settings.key_files.load().map_err(role::problems)?;
+    let tls = settings.tls_files.load().map_err(role::problems)?;
+    agent.reload_tls(agent_tls(tls)).map_err(failure)?;
+    agent.rotate_keys(keys.ring);
+    Ok(())
+}
+
+fn options(settings: &AgentSettings) -> Result<AgentOptions, Failure> {
+    let keys = settings.key_files.load().map_err(role::problems)?;
+    let tls = settings.tls_files.load().map_err(role::problems)?;
+    Ok(AgentOptions {
+        service: settings.service.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        data_address: settings.data_address,
+        control_address: settings.control_address,
+        upstream_address: settings.upstream_address,
+        slots: settings.slots,
+        balancers: settings.known_balancers.clone(),
+        control: ControlCodec::new(&settings.cluster, keys.cluster),
+        keys: keys.ring,
+        tls: agent_tls(tls),
+        profile: first_profile(settings)?,
+        incarnation: role::incarnation(),
+    })
+}
+
+fn agent_tls(material: TlsMaterial) -> AgentTls {
+    AgentTls {
+        certificates: material.certificates,
+        key: material.key,
+    }
+}
+
+/// Makes the profile that is in force until the balancers send the one that the service follows.
+fn first_profile(settings: &AgentSettings) -> Result<Profile, Failure> {
+    let treatment = Treatment {
+        urgency: Urgency::Normal,
+        share_per_mille: PerMille(300),
+        queue_wait_ms: DurationMs(1000),
+        deadline_ms: DurationMs(5000),
+        new_flows_per_second: RatePerSecond(1000),
+        retry_budget_per_mille: PerMille(0),
+    };
+    let work = WorkKind::ALL.map(|kind| WorkProfile {
+        kind,
+        idempotent: kind == WorkKind::Sheet,
+        calm: treatment,
+        crowded: treatment,
+    });
+    let name = "first".parse();
+    Ok(Profile {
+        name: name.map_err(|error| Failure::new(ResultCode::Failure, error))?,
+        target_delay_ms: DurationMs(20),
+        drain_limit_ms: settings.drain_limit_ms,
+        work: work.to_vec(),
+    })
+}
+
+fn failure(error: AgentError) -> Failure {
+    let code = match &error {
+        AgentError::Bind { .. } => ResultCode::AddressInUse,
+        AgentError::Tls(_) => ResultCode::SettingsInvalid,
+    };
+    Failure::new(code, error)
+}
--- /dev/null
+++ b/src/balancer.rs
@@ -0,0 +1,152 @@
+//! Command `balancer`: runs a balancer until it is drained or told to stop.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorntide_admin::{AdminOptions, AdminServer, Operations, install_metrics};
+use hawthorntide_balancer::{
+    Balancer, BalancerError, BalancerOperations, BalancerOptions, Ingress, StoreLink,
+};
+use hawthorntide_configuration::{BalancerSettings, IngressSettings, Settings, open};
+use hawthorntide_platform::{ObjectStore, StoreOptions};
+use hawthorntide_timeline::{Event, EventKind, HybridClock, Part, ProcessName, Timeline};
+use hawthorntide_types::{NodeId, ResultCode};
+use hawthorntide_wire::ControlCodec;
+use tokio_util::sync::CancellationToken;
+
+use crate::cli::RoleArguments;
+use crate::failure::Failure;
+use crate::{logging, role, signal};
+
+/// Events that the process keeps for the administration API.
+const TIMELINE_EVENTS: usize = 65_536;
+/// Time that the link to the store gets to give up its watcher slot.
+const LINK_TIME: Duration = Duration::from_secs(2);
+
+pub(crate) fn run(arguments: &RoleArguments) -> Result<ResultCode, Failure> {
+    let settings = settings(&arguments.settings)?;
+    let log = logging::start(settings.log)?;
+    install_metrics();
+    let runtime = role::runtime(settings.worker_count)?;
+    let code = runtime.block_on(serve(&settings, &arguments.settings));
+    runtime.shutdown_background();
+    log.shutdown();
+    code
+}
+
+fn settings(path: &Path) -> Result<BalancerSettings, Failure> {
+    match open(path).map_err(role::problems)? {
+        Settings::Balancer(settings) => Ok(*settings),
+        Settings::Agent(_) => Err(role::wrong_role(path, "balancer")),
+    }
+}
+
+async fn serve(settings: &BalancerSettings, path: &Path) -> Result<ResultCode, Failure> {
+    let store = ObjectStore::open(settings.store_address, StoreOptions::default());
+    let store = Arc::new(store.map_err(|error| Failure::new(ResultCode::Failure, error))?);
+    let balancer = Balancer::spawn(options(settings)?).await.map_err(failure)?;
+    let node = NodeId::of_address(balancer.control_address());
+    let name = ProcessName(format!("balancer {}", balancer.control_address()));
+    let clock = Arc::new(HybridClock::default());
+    let timeline = Arc::new(Timeline::new(name, clock, TIMELINE_EVENTS));
+    timeline.record(Event::new(Part::Balancer, EventKind::ProcessStarted));
+    let (control, events) = (balancer.control(), Some(Arc::clone(&timeline)));
+    let operations = BalancerOperations::new(node, control.clone(), Arc::clone(&store), events);
+    let operations = Arc::new(operations);
+    let stop = CancellationToken::new();
+    let domain = settings.failure_domain.clone();
+    let link = StoreLink::new(node, domain, control, store, stop.clone());
+    let link = tokio::spawn(link.run());
+    let _admin = admin(settings, Arc::clone(&operations)).await?;
+    wait(&balancer, &operations, path).await?;
+    operations.begin_drain();
+    timeline.record(Event::new(Part::Balancer, EventKind::DrainBegan));
+    stop.cancel();
+    log::info!("balancer: Drain began.");
+    let report = balancer.drain(settings.drain_limit_ms).await;
+    let ended = tokio::time::timeout(LINK_TIME, link).await;
+    log::info!(
+        "balancer: Ended; {} packets forwarded, {} replied, {} dropped, store link ended: {}.",
+        report.packets_forwarded,
+        report.packets_replied,
+        report.packets_dropped,
+        ended.is_ok()
+    );
+    Ok(ResultCode::Ok)
+}
+
+async fn admin(
+    settings: &BalancerSettings,
+    operations: Arc<BalancerOperations>,
+) -> Result<AdminServer, Failure> {
+    let options = AdminOptions {
+        teams: settings.teams.clone(),
+        ..AdminOptions::default()
+    };
+    let address = settings.admin_address;
+    let server = AdminServer::bind(address, options, operations).await;
+    server.map_err(|error| {
+        Failure::new(
+            ResultCode::AddressInUse,
+            format!("cannot bind {address}: {error}"),
+        )
+    })
+}
+
+/// Waits for the end of the process; renews keys whenever SIGHUP asks for it.
+async fn wait(
+    balancer: &Balancer,
+    operations: &BalancerOperations,
+    path: &Path,
+) -> Result<(), Failure> {
+    let mut stops = signal::Stops::open()?;
+    let mut reloads = signal::Reloads::open()?;
+    loop {
+        tokio::select! {
+            () = stops.next() => return Ok(()),
+            () = operations.drain_requested() => return Ok(()),
+            () = reloads.next() => reload(balancer, path),
+        }
+    }
+}
+
+/// Takes new keys; a broken file leaves the keys in force.
+fn reload(balancer: &Balancer, path: &Path) {
+    let keys = settings(path).and_then(|it| it.key_files.load().map_err(role::problems));
+    match keys {
+        Ok(keys) => {
+            balancer.rotate_keys(keys.ring);
+            log::info!("balancer: Keys renewed.");
+        }
+        Err(failure) => log::error!("balancer: Keys not renewed: {failure}."),
+    }
+}
+
+fn options(settings: &BalancerSettings) -> Result<BalancerOptions, Failure> {
+    let keys = settings.key_files.load().map_err(role::problems)?;
+    let ingress = match settings.ingress {
+        IngressSettings::Socket => Ingress::Socket,
+        IngressSettings::Encapsulated { fabric_address } => {
+            Ingress::Encapsulated { fabric_address }
+        }
+    };
+    Ok(BalancerOptions {
+        failure_domain: settings.failure_domain.clone(),
+        region: settings.region.clone(),
+        data_address: settings.data_address,
+        control_address: settings.control_address,
+        ingress,
+        services: Vec::new(),
+        peers: settings.known_peers.clone(),
+        admin_address: Some(settings.admin_address),
+        control: ControlCodec::new(&settings.cluster, keys.cluster),
+        keys: keys.ring,
+        incarnation: role::incarnation(),
+    })
+}
+
+fn failure(error: BalancerError) -> Failure {
+    let BalancerError::Bind { .. } = &error;
+    Failure::new(ResultCode::AddressInUse, error)
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,6 +25,10 @@
 /// Commands.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Runs an agent beside an upstream.
+    Agent(RoleArguments),
+    /// Runs a balancer.
+    Balancer(RoleArguments),
     /// Sends one request to a service.
     Call(CallArguments),
     /// Checks settings files, profiles and services.
@@ -64,6 +68,18 @@
     pub(crate) files: Vec<PathBuf>,
 }
 
+/// Arguments of `agent` and `balancer`.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  hawthorntide balancer --settings balancer.jsonc
+
+SIGTERM and SIGINT drain the process, SIGHUP reads keys and certificates again.")]
+pub(crate) struct RoleArguments {
+    /// Settings file, JSON with comments.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) settings: PathBuf,
+}
+
 /// Service that is called.
 #[derive(Args, Clone, Debug)]
 pub(crate) struct TargetArguments {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,8 @@
 //! Layer-4 load balancer: every process between callers and upstreams in one binary.
 
 mod admin_client;
+mod agent;
+mod balancer;
 mod call;
 mod check;
 mod cli;
@@ -13,6 +15,7 @@
 mod logging;
 mod output;
 mod profile;
+mod role;
 mod service;
 mod signal;
 mod status;
@@ -42,6 +45,8 @@
 fn run(cli: Cli) -> Result<ResultCode, Failure> {
     let format = cli.output;
     match cli.command {
+        Command::Agent(arguments) => agent::run(&arguments),
+        Command::Balancer(arguments) => balancer::run(&arguments),
         Command::Call(arguments) => block_on(call::run(arguments, format)),
         Command::Check(arguments) => Ok(check::run(&arguments)),
         Command::Codes => codes::run(format),
--- /dev/null
+++ b/src/role.rs
@@ -0,0 +1,38 @@
+//! What the commands of both roles share.
+
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use hawthorntide_configuration::SettingsProblem;
+use hawthorntide_types::{Incarnation, ResultCode};
+use tokio::runtime::Runtime;
+
+use crate::failure::Failure;
+
+/// Starts the worker threads of a process.
+pub(crate) fn runtime(worker_count: usize) -> Result<Runtime, Failure> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(worker_count)
+        .enable_all()
+        .build()
+        .map_err(|error| Failure::new(ResultCode::Failure, error))
+}
+
+/// Returns the incarnation of a process that starts now.
+pub(crate) fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since_epoch.unwrap_or_default().as_millis() as u64)
+}
+
+/// Reports all problems of a file.
+pub(crate) fn problems(problems: Vec<SettingsProblem>) -> Failure {
+    let code = problems.first().map_or(ResultCode::Failure, |it| it.code);
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    Failure::new(code, lines.join("\n"))
+}
+
+/// Reports a settings file of the other role.
+pub(crate) fn wrong_role(path: &Path, role: &str) -> Failure {
+    let message = format!("{}: role: \"{role}\" is accepted", path.display());
+    Failure::new(ResultCode::SettingsInvalid, message)
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use hawthorntide_admin::{ProfileChoice, VersionedService};
-use hawthorntide_configuration::{SettingsProblem, check_service_file};
+use hawthorntide_configuration::check_service_file;
 use hawthorntide_types::{ResultCode, ServiceName};
 use reqwest::Method;
 
@@ -14,6 +14,7 @@
 };
 use crate::failure::Failure;
 use crate::output::{OutputFormat, Table, print_json};
+use crate::role::problems;
 
 pub(crate) async fn run(
     arguments: ServiceArguments,
@@ -120,10 +121,3 @@
         Failure::new(ResultCode::SettingsUnreadable, message)
     })
 }
-
-/// Reports all problems of a file.
-pub(crate) fn problems(problems: Vec<SettingsProblem>) -> Failure {
-    let code = problems.first().map_or(ResultCode::Failure, |it| it.code);
-    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
-    Failure::new(code, lines.join("\n"))
-}
--- a/src/signal.rs
+++ b/src/signal.rs
@@ -1,18 +1,51 @@
-//! Signals that end a process.
+//! Signals that end a process or renew its keys.
 
 use hawthorntide_types::ResultCode;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::failure::Failure;
 
-/// Waits for SIGINT or SIGTERM.
-pub(crate) async fn wait_for_stop() -> Result<(), Failure> {
-    let failure = |error| Failure::new(ResultCode::Failure, error);
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failure)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(failure)?;
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
+/// Requests to end the process, which SIGINT and SIGTERM make.
+#[derive(Debug)]
+pub(crate) struct Stops {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl Stops {
+    pub(crate) fn open() -> Result<Self, Failure> {
+        Ok(Self {
+            interrupt: listen(SignalKind::interrupt())?,
+            terminate: listen(SignalKind::terminate())?,
+        })
+    }
+
+    /// Waits for the next request.
+    pub(crate) async fn next(&mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+        }
+    }
+}
+
+/// Requests to read keys and certificates again, which SIGHUP makes.
+#[derive(Debug)]
+pub(crate) struct Reloads(Signal);
+
+impl Reloads {
+    pub(crate) fn open() -> Result<Self, Failure> {
+        Ok(Self(listen(SignalKind::hangup())?))
+    }
+
+    /// Waits for the next request.
+    pub(crate) async fn next(&mut self) {
+        if self.0.recv().await.is_none() {
+            std::future::pending::<()>().await;
+        }
     }
-    Ok(())
+}
+
+fn listen(kind: SignalKind) -> Result<Signal, Failure> {
+    signal(kind).map_err(|error| Failure::new(ResultCode::Failure, error))
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -123,6 +123,8 @@
 fn help_shows_every_command_and_examples() {
     let help = run(&["--help"]).stdout;
     for command in [
+        "agent",
+        "balancer",
         "call",
         "check",
         "codes",
@@ -134,6 +136,7 @@
         "service",
         "status",
         "timeline",
+        "trial",
     ] {
         expect_that!(help, contains_substring(format!("\n  {command} ")));
         expect_that!(run(&[command, "--help"]).code, eq(0));
@@ -228,6 +231,33 @@
     expect_that!(run(&["check", &profile, &service]).code, eq(0));
 }
 
+// Guards against a process that starts with wrong settings, or whose failure has no code.
+#[gtest]
+fn a_role_refuses_to_start_with_wrong_settings() {
+    let directory = Directory::new("role");
+    run(&["keys", &directory.path("keys"), "--team", "ops"]);
+    let taken = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = balancer_settings("keys").replace("127.0.0.1:4100", &address);
+    let settings = directory.write("balancer.jsonc", &text);
+    let start = |role: &str| run(&[role, "--settings", &settings]);
+    let agent = start("agent");
+    expect_that!(agent.code, eq(code(ResultCode::SettingsInvalid)));
+    expect_that!(agent.stderr, contains_substring("role"));
+    let balancer = start("balancer");
+    expect_that!(
+        balancer.code,
+        eq(code(ResultCode::AddressInUse)),
+        "{balancer:?}"
+    );
+    expect_that!(balancer.stderr, contains_substring(&address));
+    let key = directory.path("keys/cluster.key");
+    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o640)).unwrap();
+    let exposed = start("balancer");
+    expect_that!(exposed.code, eq(code(ResultCode::KeyFileExposed)));
+    expect_that!(exposed.stderr, contains_substring("cluster.key"));
+}
+
 // Guards against a change that is made but not shown, or shown but not made.
 #[gtest]
 #[tokio::test]
