Judge the own link by the own failure domain

Cause: a lost failure domain was out after 23.9 s. Balancers of a region with two failure domains held removals beyond the 10 s of the floor, because the lost one is half of their region. The floor is now released when the own failure domain responds. First contacts of agents, which name no home balancers yet, are answered but not gossiped.

--- a/crates/membership/examples/capacity.rs
+++ b/crates/membership/examples/capacity.rs
@@ -13,7 +13,7 @@
 use hawthorntide_types::{EndpointId, Phase};
 use hawthorntide_wire::control;
 use prost::Message;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::{Faults, Network, Traffic};
@@ -30,6 +30,8 @@
 const ENDPOINTS_PER_SERVICE: usize = 2;
 /// Headers of IPv4 and UDP.
 const PACKET_HEADER_BYTES: u64 = 28;
+/// Balancers that are there before the agents.
+const FIRST_BALANCERS: usize = 5;
 const STEADY_MS: u64 = 60_000;
 /// Configuration changes a day at the design size.
 const CHANGES_PER_DAY: u64 = 4_200;
@@ -86,21 +88,31 @@
         let memory = resident_bytes();
         let started = Instant::now();
         let seeds = [0, 1, 2];
+        // The first balancers take all agents, then the others join: telling each start of an
+        // agent to all balancers would take most of the run.
         for index in 0..balancers {
             let (domain, region) = DOMAINS[index % DOMAINS.len()];
-            network.add_balancer(domain, region, &seeds);
-            network.run_for(10_000 / balancers as u64);
+            if index < FIRST_BALANCERS {
+                network.add_balancer(domain, region, &seeds);
+            } else {
+                network.prepare_balancer(domain, region);
+            }
         }
-        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        network.run_for(5_000);
         for index in 0..endpoints {
             let (domain, _) = DOMAINS[index % DOMAINS.len()];
             let service = format!("s{}", index / ENDPOINTS_PER_SERVICE);
-            let first: Vec<usize> = (0..balancers).choose_multiple(&mut rng, 3);
-            network.add_agent(&service, domain, &first);
+            network.add_agent(&service, domain, &seeds);
             if index % 64 == 0 {
                 network.run_for(200);
             }
         }
+        network.run_for(30_000);
+        for index in FIRST_BALANCERS..balancers {
+            network.start(index, &seeds);
+            network.run_for(10_000 / balancers as u64);
+        }
+        let rng = ChaCha8Rng::seed_from_u64(3);
         let mut bench = Self {
             network,
             balancers,
--- a/crates/membership/src/floor.rs
+++ b/crates/membership/src/floor.rs
@@ -1,6 +1,6 @@
 //! Floor under removals: when many members go silent at once, the own link may be the reason.
 
-use hawthorntide_types::{DurationMs, FailureDomain, Region, TimeMs};
+use hawthorntide_types::{DurationMs, FailureDomain, TimeMs};
 
 use crate::gossip::{Alarm, GossipAction, GossipMachine};
 use crate::member::{Health, Record};
@@ -119,22 +119,15 @@
         !hold.is_released
     }
 
-    /// Returns whether this process hears others and most members of its own region respond.
-    /// That tells a lost failure domain or a split between regions from a lost own link.
+    /// Returns whether this process hears others and most members of its own failure domain
+    /// respond. That tells a lost failure domain or a split between regions from a lost own link.
+    /// The region is no measure: one of two failure domains is half of it.
     fn is_well_connected(&self) -> bool {
         if self.unheard() >= CUT_OFF_MS {
             return false;
         }
-        let own: &Region = &self.own.region;
-        let foreign: Vec<&FailureDomain> = self
-            .balancers
-            .records()
-            .filter(|balancer| balancer.region != *own)
-            .map(|balancer| &balancer.failure_domain)
-            .collect();
-        !self
-            .silence(|domain| !foreign.contains(&domain))
-            .is_majority()
+        let own = &self.own.failure_domain;
+        !self.silence(|domain| domain == own).is_majority()
     }
 
     /// Counts the members that this process can judge: all balancers and its own agents.
--- a/crates/membership/src/homes.rs
+++ b/crates/membership/src/homes.rs
@@ -85,6 +85,13 @@
     ) {
         let endpoint = match &heartbeat.endpoint {
             Some(record) => match self.announced(from, record) {
+                // A first contact names no home balancers yet; the next record, which does, is the
+                // one worth telling to every balancer.
+                Some(endpoint) if endpoint.homes.is_empty() => {
+                    let ack = self.introduce(from, &endpoint);
+                    send(out, from.address, Body::HeartbeatAck(ack));
+                    return;
+                }
                 Some(endpoint) => {
                     let id = endpoint.id;
                     self.apply_endpoint(endpoint, DurationMs(0), out);
@@ -104,6 +111,21 @@
         send(out, from.address, Body::HeartbeatAck(ack));
     }
 
+    /// Answers the first contact of an agent with the balancers among which it finds its homes.
+    fn introduce(&self, from: Sender, endpoint: &Endpoint) -> control::HeartbeatAck {
+        let mut ack = control::HeartbeatAck {
+            revision: endpoint.stamp.revision,
+            ..control::HeartbeatAck::default()
+        };
+        let held = self.endpoints.get(endpoint.id.get());
+        if let Some(held) = held.filter(|held| held.stamp.incarnation > from.incarnation) {
+            ack.newer_incarnation = held.stamp.incarnation.get();
+            return ack;
+        }
+        self.tell_peers(endpoint, 0, &mut ack);
+        ack
+    }
+
     /// Checks a record that an agent announces about itself.
     fn announced(&mut self, from: Sender, record: &control::EndpointRecord) -> Option<Endpoint> {
         let endpoint = endpoint_from_wire(record).filter(|endpoint| {
