Keep opaque UDP flows at one agent with searches among earlier owners

Packets of opaque UDP services name no endpoint, so a table change would move their flows. The balancer selects a table slot by the flow key; the agent's `OpaqueMachine` decides whether it holds the flow, relays the packet, or drops it. A packet of an unknown flow visits the earlier owners of its table slot and the agents that they know; a trail in the packet lists them, so that no relay goes in circles and at most eight hops happen. Agents that hold nothing in the slot drop out of later searches.

The assumption is that an agent announces itself only after it knows the siblings that may hold flows. An agent that is removed as dead drops out of searches, because its silence would block new flows.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,13 +3,17 @@
 mod connection_id;
 mod id_map;
 mod key;
+mod opaque;
 mod packet;
+mod relay;
 mod slots;
 mod table;
 
 pub use connection_id::{CONNECTION_ID_BYTES, ConnectionIdCodec, ConnectionToken};
 pub use hawthorntide_wire::ForwardKind;
 pub use key::{KEY_BYTES, KeyRing, KeyRingError, RoutingKey};
+pub use opaque::{FLOW_IDLE_MS, FlowKey, OpaqueArrival, OpaqueDecision, OpaqueMachine};
 pub use packet::{PacketClass, classify};
+pub use relay::{MAX_HOPS, MAX_TRAIL_BYTES, RelayPurpose, RelayTrail, TrailEntry};
 pub use slots::TABLE_SLOTS;
 pub use table::{EndpointRoute, FORWARD_GONE_MS, Route, RoutingTable};
--- a/crates/routing/src/slots.rs
+++ b/crates/routing/src/slots.rs
@@ -44,6 +44,19 @@
         Some(member.data_address)
     }
 
+    /// Returns the endpoint that owns `slot`.
+    pub(crate) fn owner_endpoint(&self, slot: usize) -> Option<EndpointId> {
+        let member = self.members.get(usize::from(self.owners[slot]))?.as_ref()?;
+        Some(member.endpoint)
+    }
+
+    /// Returns the owners of all slots.
+    pub(crate) fn owner_endpoints(&self) -> Vec<Option<EndpointId>> {
+        (0..TABLE_SLOTS)
+            .map(|slot| self.owner_endpoint(slot))
+            .collect()
+    }
+
     /// Sets the weight of `endpoint`; no weight takes it out of the table.
     pub(crate) fn set(&mut self, endpoint: EndpointId, data_address: SocketAddr, weight: Weight) {
         let is_same = |member: &Option<Member>| member.is_some_and(|m| m.endpoint == endpoint);
@@ -156,7 +169,7 @@
 }
 
 /// Returns the table slot of `key`.
-fn slot_of(key: u64) -> usize {
+pub(crate) fn slot_of(key: u64) -> usize {
     (key % TABLE_SLOTS as u64) as usize
 }
 
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -10,7 +10,7 @@
 
 use crate::id_map::IdMap;
 use crate::slots::SlotTable;
-use crate::{ConnectionIdCodec, ConnectionToken, PacketClass, classify};
+use crate::{ConnectionIdCodec, ConnectionToken, FlowKey, PacketClass, classify};
 
 /// How long packets of established flows still go to an endpoint that left; twice the expected
 /// length of a region split, in which endpoints seem gone that still hold flows.
@@ -181,6 +181,22 @@
         }
     }
 
+    /// Decides where a datagram of an opaque UDP flow goes.
+    pub fn route_opaque(&self, service: ServiceId, flow: &FlowKey) -> Route {
+        match self.route_opening(service, flow.hash()) {
+            Route::Forward { to, .. } => Route::Forward {
+                to,
+                kind: ForwardKind::Opaque,
+            },
+            dropped @ Route::Drop(_) => dropped,
+        }
+    }
+
+    /// Returns the transport of a service.
+    pub fn transport_of(&self, service: ServiceId) -> Option<Transport> {
+        self.services.get(&service).map(|entry| entry.transport)
+    }
+
     fn route_opening(&self, service: ServiceId, key: u64) -> Route {
         let owner = self
             .services
