--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -9,6 +9,7 @@
 mod replica;
 mod section;
 mod settings;
+mod watcher;
 
 pub use agent_settings::AgentSettings;
 pub use balancer_settings::{BalancerSettings, IngressSettings, Team, TeamServices};
@@ -20,3 +21,7 @@
     bucket_of, state_hash,
 };
 pub use settings::{LogFormat, LogLevel, LogSettings, Settings, check, open};
+pub use watcher::{
+    MAX_DIRECTORY_PEERS, SLOTS_PER_DOMAIN, SlotRead, SlotState, SlotWrite, WATCHER_SLOT_KIND,
+    WatcherAction, WatcherClaims, WatcherEvent, WatcherMachine, WatcherSlotValue, slot_name,
+};
