Limit opening packets by service share

A flood of opening packets from spoofed sources at one service must not take the new flows of the others, and must not cost memory. `OpeningGate` gives each service a limit of its own and a guaranteed share of a total rate; what others leave unused is open to all. It keeps a constant state per service and none per source. Packets that name an endpoint, such as those after a QUIC Retry, never pass it.

The property test found that guaranteed packets did not count against spare tokens, so that the sum exceeded the total; the total bucket now goes below zero.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Routing decisions of the balancer: connection identifiers, slot tables, relays.
 
 mod connection_id;
+mod gate;
 mod id_map;
 mod key;
 mod opaque;
@@ -10,6 +11,7 @@
 mod table;
 
 pub use connection_id::{CONNECTION_ID_BYTES, ConnectionIdCodec, ConnectionToken};
+pub use gate::OpeningGate;
 pub use hawthorntide_wire::ForwardKind;
 pub use key::{KEY_BYTES, KeyRing, KeyRingError, RoutingKey};
 pub use opaque::{FLOW_IDLE_MS, FlowKey, OpaqueArrival, OpaqueDecision, OpaqueMachine};
