Run admission, ledger and sibling choice in the agent

Cause: the agent admitted by a semaphore, ran duplicates again, forgot the outcome of a lost connection and took every opening packet. Change: one desk holds admission, ledger and health; cancellation and deadline reach the upstream by dropping its call; "not run" is fenced before it is reported; reservations finish when their connection is lost and a retry gets the kept answer; load reports go to up to six siblings and opening packets are passed once; the weight follows the observed health; a profile from the configuration comes into force; a drain that reached its limit still completes requests in progress; requests under way from callers are limited and a cut one is reset without a statement about it.

--- a/crates/admission/src/health.rs
+++ b/crates/admission/src/health.rs
@@ -36,6 +36,8 @@
     Serving,
     /// It starts.
     Starting,
+    /// It drains and wants no new flows.
+    Draining,
     /// It failed.
     Failed,
     /// Its report could not be had.
@@ -178,6 +180,8 @@
         let hinted = match self.hint {
             HealthHint::Serving | HealthHint::Missing => 1.0,
             HealthHint::Starting | HealthHint::Failed => HINT_FACTOR,
+            // A false report costs little: at most half of a service is set aside.
+            HealthHint::Draining => 0.0,
         };
         f64::from(Weight::FULL.get()) * working * speed * hinted
     }
--- a/crates/admission/src/ledger.rs
+++ b/crates/admission/src/ledger.rs
@@ -257,9 +257,20 @@
         self.fence_from(session, sequence, WAITING, code)
     }
 
-    /// Fences a request that the upstream refused with the statement that it was not started.
-    pub fn fence_shed(&mut self, session: SessionId, sequence: Sequence) -> Fence {
-        self.fence_from(session, sequence, HANDED_OVER, ResultCode::NotRunShed)
+    /// Fences a request that was handed over, but of which it is certain that it was not started:
+    /// the upstream said so, or no connection to it was made.
+    pub fn fence_unstarted(
+        &mut self,
+        session: SessionId,
+        sequence: Sequence,
+        code: ResultCode,
+    ) -> Fence {
+        debug_assert_eq!(
+            code.ran(),
+            Ran::No,
+            "only a code of work that was not run fences"
+        );
+        self.fence_from(session, sequence, HANDED_OVER, code)
     }
 
     /// Forgets sessions that were idle for too long; due about once a second.
--- a/crates/admission/tests/ledger_model.rs
+++ b/crates/admission/tests/ledger_model.rs
@@ -231,7 +231,9 @@
         self.running.retain(|running| *running != request);
         // The upstream states that the hand-over had no effect.
         self.fact(request).runs -= 1;
-        if self.ledger.fence_shed(session, Sequence(request.sequence)) == Fence::Fenced {
+        let code = ResultCode::NotRunShed;
+        let sequence = Sequence(request.sequence);
+        if self.ledger.fence_unstarted(session, sequence, code) == Fence::Fenced {
             self.fact(request).told_not_run = true;
         }
     }
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use hawthorntide_admission::EndpointLoad;
 use hawthorntide_membership::{AgentIdentity, AnnounceMachine, ControlGate};
 use hawthorntide_routing::{ConnectionIdCodec, KeyRing};
 use hawthorntide_types::{
     DurationMs, EndpointId, FailureDomain, Incarnation, Phase, Profile, ServiceId, ServiceName,
-    SlotCount,
+    SlotCount, TimeMs,
 };
 use hawthorntide_wire::ControlCodec;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -20,6 +21,8 @@
 
 use crate::connection_id::NamedConnectionIds;
 use crate::control::ControlPlane;
+use crate::desk::Desk;
+use crate::peers::Peers;
 use crate::socket::AgentSocket;
 use crate::upstream::UpstreamClient;
 use crate::{connection, tls};
@@ -27,6 +30,19 @@
 /// Interval at which a drain looks whether flows are still open.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Interval of the ticks of the admission; the waits that it decides about are longer.
+const ADMISSION_TICK: Duration = Duration::from_millis(10);
+
+/// Interval at which the upstream is asked about itself.
+const HEALTH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Requests that may be under way from callers at a time, so that streams on which nothing is sent
+/// use bounded memory.
+const MAX_READS: usize = 4096;
+
+/// Longest time for which a drain that reached its limit waits for requests in progress.
+const LAST_REQUESTS: Duration = Duration::from_secs(30);
+
 /// Certificate and private key of an agent.
 pub struct AgentTls {
     /// Certificate chain, the agent's own first.
@@ -103,9 +119,11 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) data_address: SocketAddr,
     pub(crate) codec: ConnectionIdCodec,
-    pub(crate) profile: Profile,
+    pub(crate) desk: Desk,
+    pub(crate) peers: Peers,
     pub(crate) upstream: UpstreamClient,
-    pub(crate) work_slots: tokio::sync::Semaphore,
+    /// Permits to read requests that have not arrived whole.
+    pub(crate) reads: tokio::sync::Semaphore,
     pub(crate) is_draining: AtomicBool,
     /// Whether a balancer has acknowledged the endpoint since the last pause.
     pub(crate) is_announced: AtomicBool,
@@ -117,6 +135,20 @@
 }
 
 impl Shared {
+    /// Returns the load as siblings compare it.
+    pub(crate) fn load(&self) -> EndpointLoad {
+        let load = self.desk.load();
+        EndpointLoad {
+            endpoint: self.endpoint,
+            in_flight: load.in_flight,
+            waiting: load.waiting,
+            queue_delay_ms: load.queue_delay_ms,
+            slots: load.slots,
+            open_flows: self.open_flows.load(Ordering::Relaxed) as u32,
+            phase: self.phase(),
+        }
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         if self.stop.is_cancelled() {
             return Phase::Gone;
@@ -144,15 +176,22 @@
         let control = bind(options.control_address).await?;
         let data_address = local_address(&data, options.data_address)?;
         let control_address = local_address(&control, options.control_address)?;
+        let endpoint_id = EndpointId::of_address(data_address);
         let shared = Arc::new(Shared {
             service: options.service,
-            endpoint: EndpointId::of_address(data_address),
+            endpoint: endpoint_id,
             incarnation: options.incarnation,
             data_address,
             codec: ConnectionIdCodec::new(options.keys),
-            profile: options.profile,
+            desk: Desk::new(
+                options.profile,
+                options.slots,
+                options.incarnation,
+                endpoint_id,
+            ),
+            peers: Peers::new(endpoint_id),
             upstream: UpstreamClient::new(options.upstream_address),
-            work_slots: tokio::sync::Semaphore::new(options.slots.get() as usize),
+            reads: tokio::sync::Semaphore::new(MAX_READS),
             is_draining: AtomicBool::new(false),
             is_announced: AtomicBool::new(false),
             is_killed: AtomicBool::new(false),
@@ -181,8 +220,12 @@
             gate: ControlGate::new(options.control, control_address, options.incarnation),
             machine: AnnounceMachine::new(identity, rand::random()),
             started: tokio::time::Instant::now(),
+            last_report: TimeMs(0),
+            last_weight: TimeMs(0),
         };
         tasks.spawn(plane.run(options.balancers));
+        tasks.spawn(tick(Arc::clone(&shared)));
+        tasks.spawn(ask_health(Arc::clone(&shared)));
         log::info!("agent: Serving {} at {data_address}.", shared.service);
         Ok(Self {
             shared,
@@ -208,14 +251,28 @@
         while self.open_flows() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL).await;
         }
+        self.finish_requests().await;
         let report = self.report();
         self.stop().await;
         report
     }
 
+    /// Waits until no request holds or awaits a slot; streams are not waited for.
+    async fn finish_requests(&self) {
+        let end = tokio::time::Instant::now() + LAST_REQUESTS;
+        while tokio::time::Instant::now() < end {
+            let load = self.shared.desk.load();
+            if load.in_flight == 0 && load.waiting == 0 {
+                return;
+            }
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
     /// Announces that no new work is taken; open flows go on.
     pub fn begin_drain(&self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
+        self.shared.desk.begin_drain();
         log::info!("agent: Drain began with {} open flows.", self.open_flows());
     }
 
@@ -242,6 +299,33 @@
     }
 }
 
+async fn tick(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(ADMISSION_TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => shared.desk.tick(),
+        }
+    }
+}
+
+async fn ask_health(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(HEALTH_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let hint = tokio::select! {
+            () = shared.stop.cancelled() => return,
+            hint = shared.upstream.health() => hint,
+        };
+        shared.desk.record_hint(hint);
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<UdpSocket, AgentError> {
     UdpSocket::bind(address)
         .await
--- a/crates/agent/src/connection.rs
+++ b/crates/agent/src/connection.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use hawthorntide_types::{ResultCode, SessionId};
 use hawthorntide_wire::{call, encode_frame};
 use tokio_util::task::TaskTracker;
 
 use crate::agent::Shared;
 use crate::call::serve;
 use crate::connection_id::NamedConnectionIds;
+use crate::session::ConnectionSessions;
 
 /// Accepts connections until the endpoint is closed.
 pub(crate) async fn accept(shared: Arc<Shared>, endpoint: quinn::Endpoint, tasks: TaskTracker) {
@@ -37,22 +39,36 @@
     ids: &NamedConnectionIds,
     tasks: &TaskTracker,
 ) {
-    if grant_session(shared, connection, ids).await.is_none() {
+    let Some(session) = shared.desk.open_session() else {
+        let code = ResultCode::NotRunLimited;
+        connection.close(
+            quinn::VarInt::from_u32(code.number().into()),
+            code.name().as_bytes(),
+        );
+        return;
+    };
+    let sessions = Arc::new(ConnectionSessions::new(Arc::clone(shared), session));
+    if grant_session(shared, session, connection, ids)
+        .await
+        .is_none()
+    {
         return;
     }
     while let Ok((send, receive)) = connection.accept_bi().await {
-        tasks.spawn(serve(Arc::clone(shared), send, receive));
+        let sessions = Arc::clone(&sessions);
+        tasks.spawn(serve(Arc::clone(shared), sessions, send, receive));
     }
 }
 
 async fn grant_session(
     shared: &Shared,
+    session: SessionId,
     connection: &quinn::Connection,
     ids: &NamedConnectionIds,
 ) -> Option<()> {
     let grant = call::SessionGrant {
-        session: rand::random(),
-        epoch: shared.incarnation.get(),
+        session: session.get(),
+        epoch: shared.desk.epoch().get(),
         resume_connection_id: ids.issue().to_vec(),
     };
     let mut stream = connection.open_uni().await.ok()?;
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hawthorntide_configuration::{PROFILE_KIND, check_profile};
 use hawthorntide_membership::{AnnounceAction, AnnounceEvent, AnnounceMachine, ControlGate};
-use hawthorntide_types::{Phase, TimeMs};
+use hawthorntide_types::{DurationMs, Phase, ServiceId, TimeMs};
 use hawthorntide_wire::MAX_CONTROL_BYTES;
-use hawthorntide_wire::control::ControlMessage;
+use hawthorntide_wire::control::{self, ControlMessage, LoadReport, control_message::Body};
 use tokio::net::UdpSocket;
 
 use crate::agent::Shared;
@@ -16,6 +17,15 @@
 /// Interval of the machine's ticks; a change of phase is noticed and announced within it.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Interval of load reports while there is work.
+const REPORT_MS: DurationMs = DurationMs(200);
+
+/// Interval of load reports without work; siblings forget a report after 2 s.
+const IDLE_REPORT_MS: DurationMs = DurationMs(800);
+
+/// Interval at which the weight is compared with the observed health of the upstream.
+const WEIGHT_MS: DurationMs = DurationMs(1000);
+
 /// Control socket with the machine behind it.
 #[derive(Debug)]
 pub(crate) struct ControlPlane {
@@ -24,6 +34,8 @@
     pub(crate) gate: ControlGate,
     pub(crate) machine: AnnounceMachine,
     pub(crate) started: tokio::time::Instant,
+    pub(crate) last_report: TimeMs,
+    pub(crate) last_weight: TimeMs,
 }
 
 impl ControlPlane {
@@ -41,6 +53,8 @@
                 _ = ticks.tick() => {
                     self.follow_phase().await;
                     self.handle(AnnounceEvent::Tick).await;
+                    self.report_load().await;
+                    self.limit_weight().await;
                 }
                 received = self.socket.recv_from(&mut buffer) => {
                     // An ICMP answer to an earlier datagram surfaces here as an error.
@@ -62,11 +76,90 @@
             let known = self.machine.balancers();
             let recent_balancers = known.iter().map(|peer| peer.data_address).collect();
             self.handle(AnnounceEvent::Drain { recent_balancers }).await;
+            self.send_report().await;
+        }
+    }
+
+    async fn report_load(&mut self) {
+        let now = self.shared.desk.now();
+        let load = self.shared.load();
+        let is_idle = load.in_flight == 0 && load.waiting == 0;
+        let interval = if is_idle { IDLE_REPORT_MS } else { REPORT_MS };
+        if now.since(self.last_report) >= interval {
+            self.send_report().await;
+        }
+    }
+
+    async fn send_report(&mut self) {
+        let now = self.shared.desk.now();
+        self.last_report = now;
+        let load = self.shared.load();
+        self.shared.peers.set_own_load(now, load);
+        let report = LoadReport {
+            endpoint_id: load.endpoint.get(),
+            incarnation: self.shared.incarnation.get(),
+            in_flight: load.in_flight,
+            waiting: load.waiting,
+            queue_delay_ms: load.queue_delay_ms.get() as u32,
+            slots: load.slots.get(),
+            open_flows: load.open_flows,
+            phase: wire_phase(load.phase).into(),
+        };
+        let message = ControlMessage {
+            body: Some(Body::LoadReport(report)),
+        };
+        for receiver in self.shared.peers.report_receivers() {
+            self.send(receiver, &message).await;
+        }
+    }
+
+    fn set_peers(&self) {
+        let siblings = self.machine.siblings();
+        self.shared.peers.set(siblings, &self.machine.balancers());
+    }
+
+    async fn limit_weight(&mut self) {
+        let now = self.shared.desk.now();
+        if now.since(self.last_weight) < WEIGHT_MS {
+            return;
+        }
+        self.last_weight = now;
+        self.set_peers();
+        let weight = self.shared.desk.weight(&self.shared.peers.weights());
+        self.handle(AnnounceEvent::WeightLimit(weight)).await;
+    }
+
+    /// Puts the profile that the service follows in force.
+    fn apply_profile(&self) {
+        let service = ServiceId::of_name(&self.shared.service);
+        let objects = self.machine.replica().of_service(service);
+        let Some(object) = objects.iter().find(|object| object.kind == PROFILE_KIND) else {
+            return;
+        };
+        let text = String::from_utf8_lossy(&object.value);
+        match check_profile(&text, &object.name) {
+            Ok(profile) => self.shared.desk.change_profile(profile),
+            Err(problems) => log::error!(
+                "configuration: Profile {} is not valid: {} problems.",
+                object.name,
+                problems.len()
+            ),
         }
     }
 
     async fn receive(&mut self, from: SocketAddr, datagram: &[u8]) {
         match self.gate.open(from, datagram) {
+            Ok((
+                _,
+                ControlMessage {
+                    body: Some(Body::LoadReport(report)),
+                },
+            )) => {
+                let now = self.shared.desk.now();
+                if !self.shared.peers.report(now, &report) {
+                    log::debug!("agent: Load report of {from} is not of a known sibling.");
+                }
+            }
             Ok((from, message)) => self.handle(AnnounceEvent::Message { from, message }).await,
             Err(dropped) => {
                 metrics::counter!("hawthorntide_control_dropped_total", "code" => dropped.code.name())
@@ -96,8 +189,10 @@
                         object.name,
                         object.version
                     );
+                    self.apply_profile();
                 }
-                AnnounceAction::PeersChanged | AnnounceAction::NewWorkAllowed(_) => {}
+                AnnounceAction::PeersChanged => self.set_peers(),
+                AnnounceAction::NewWorkAllowed(_) => {}
             }
         }
         let is_announced = self.machine.is_announced();
@@ -119,3 +214,12 @@
         }
     }
 }
+
+const fn wire_phase(phase: Phase) -> control::Phase {
+    match phase {
+        Phase::Joining => control::Phase::Joining,
+        Phase::Serving => control::Phase::Serving,
+        Phase::Draining => control::Phase::Draining,
+        Phase::Gone => control::Phase::Gone,
+    }
+}
--- a/crates/agent/src/socket.rs
+++ b/crates/agent/src/socket.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 
+use hawthorntide_routing::{PacketClass, classify};
 use hawthorntide_types::ServiceId;
 use hawthorntide_wire::{ForwardHeader, ForwardKind, HEADER_BYTES};
 use quinn::udp::{RecvMeta, Transmit};
@@ -58,7 +59,7 @@
 
     /// Returns how quinn is to see a forwarded packet, or `None` when it is dropped.
     fn accept(&self, datagram: &[u8], from: SocketAddr) -> Option<(ForwardHeader, IpAddr)> {
-        let Ok((header, _)) = ForwardHeader::read(datagram) else {
+        let Ok((header, packet)) = ForwardHeader::read(datagram) else {
             metrics::counter!("hawthorntide_agent_packets_dropped_total", "code" => "packet-malformed")
                 .increment(1);
             return None;
@@ -75,11 +76,43 @@
                 .increment(1);
             return None;
         }
+        if header.hops > 0 && !self.shared.peers.is_sibling(from) {
+            metrics::counter!("hawthorntide_agent_packets_dropped_total", "code" => "source-unknown")
+                .increment(1);
+            return None;
+        }
+        if self.is_passed_on(&header, packet) {
+            return None;
+        }
         let mut paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
-        paths.heard(from, Instant::now());
+        // A sibling that passed a packet on is no path for replies.
+        if header.hops == 0 {
+            paths.heard(from, Instant::now());
+        }
         Some((header, paths.index_of(header.service_address)))
     }
 
+    /// Passes an opening packet on to a sibling that is clearly freer, once.
+    fn is_passed_on(&self, header: &ForwardHeader, packet: &[u8]) -> bool {
+        if header.kind != ForwardKind::Opening || header.hops > 0 {
+            return false;
+        }
+        // A connection identifier that names this agent resumes a session and has to stay.
+        let PacketClass::Opening { key } = classify(packet, &self.shared.codec) else {
+            return false;
+        };
+        let now = self.shared.desk.now();
+        let Some(sibling) = self.shared.peers.pass_to(now, &key.to_be_bytes()) else {
+            return false;
+        };
+        let passed = ForwardHeader { hops: 1, ..*header };
+        // A packet that is lost here is sent again by the caller.
+        if self.io.try_send_to(&passed.wrap(packet), sibling).is_ok() {
+            metrics::counter!("hawthorntide_agent_openings_passed_total").increment(1);
+        }
+        true
+    }
+
     fn reply_header(&self, transmit: &Transmit<'_>) -> Option<(ForwardHeader, SocketAddr)> {
         let paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
         let header = ForwardHeader {
@@ -89,10 +122,10 @@
             caller: transmit.destination,
             service_address: paths.service_address(transmit.src_ip)?,
         };
-        Some((
-            header,
-            paths.reply_path(transmit.destination, Instant::now())?,
-        ))
+        let caller = transmit.destination;
+        let heard = paths.reply_path(caller, Instant::now());
+        let path = heard.or_else(|| self.shared.peers.any_balancer(caller))?;
+        Some((header, path))
     }
 }
 
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -1,18 +1,24 @@
 //! Calls to the upstream over gRPC.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hawthorntide_admission::HealthHint;
 use hawthorntide_types::ResultCode;
 use hawthorntide_wire::call::CallRequest;
+use hawthorntide_wire::upstream::health_report::State;
 use hawthorntide_wire::upstream::upstream_client::UpstreamClient as GrpcClient;
-use hawthorntide_wire::upstream::{RunChunk, RunRequest};
+use hawthorntide_wire::upstream::{HealthRequest, RunChunk, RunRequest};
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Request, Status, Streaming};
 
 /// Time to open the connection to the upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which the upstream's report about itself is awaited.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Trailer by which an upstream says that it did not start the work.
 const RAN_TRAILER: &str = "hawthorntide-ran";
 
@@ -26,6 +32,16 @@
 #[derive(Debug)]
 pub(crate) struct Run {
     chunks: Streaming<RunChunk>,
+    has_answered: bool,
+}
+
+/// Why a call gave no whole answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum CallFailure {
+    /// The work was certainly not started.
+    NotStarted(ResultCode),
+    /// The work may have run.
+    Ended(ResultCode),
 }
 
 impl UpstreamClient {
@@ -44,7 +60,7 @@
         &self,
         request: &CallRequest,
         deadline: Duration,
-    ) -> Result<Run, ResultCode> {
+    ) -> Result<Run, CallFailure> {
         let request_id = format!(
             "{:x}-{}-{}",
             request.session, request.epoch, request.sequence
@@ -58,36 +74,77 @@
         match self.client.clone().run(message).await {
             Ok(response) => Ok(Run {
                 chunks: response.into_inner(),
+                has_answered: false,
             }),
-            Err(status) => Err(code_of(&status)),
+            Err(status) => Err(failure_of(&status, false)),
+        }
+    }
+
+    /// Asks the upstream about itself.
+    pub(crate) async fn health(&self) -> HealthHint {
+        let mut client = self.client.clone();
+        let report = client.health(HealthRequest {});
+        let Ok(Ok(report)) = tokio::time::timeout(HEALTH_TIMEOUT, report).await else {
+            return HealthHint::Missing;
+        };
+        match report.into_inner().state() {
+            State::Serving => HealthHint::Serving,
+            State::Starting => HealthHint::Starting,
+            State::Draining => HealthHint::Draining,
+            State::Failed => HealthHint::Failed,
         }
     }
 }
 
 impl Run {
     /// Waits for the next chunk; `None` at the end.
-    pub(crate) async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, ResultCode> {
+    pub(crate) async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, CallFailure> {
         match self.chunks.message().await {
-            Ok(chunk) => Ok(chunk.map(|chunk| chunk.data)),
-            Err(status) => Err(code_of(&status)),
+            Ok(chunk) => {
+                self.has_answered = true;
+                Ok(chunk.map(|chunk| chunk.data))
+            }
+            Err(status) => Err(failure_of(&status, self.has_answered)),
         }
     }
 }
 
-fn code_of(status: &Status) -> ResultCode {
+fn failure_of(status: &Status, has_answered: bool) -> CallFailure {
     let was_not_run = status
         .metadata()
         .get(RAN_TRAILER)
         .is_some_and(|value| value == "no");
-    if was_not_run {
-        return ResultCode::NotRunShed;
+    // An upstream that sent a part of an answer has run the work, whatever it says.
+    if was_not_run && !has_answered {
+        return CallFailure::NotStarted(match status.code() {
+            Code::InvalidArgument => ResultCode::NotRunBadRequest,
+            _ => ResultCode::NotRunShed,
+        });
+    }
+    if is_connect_failure(status) {
+        return CallFailure::NotStarted(ResultCode::NotRunNoUpstream);
     }
-    match status.code() {
+    CallFailure::Ended(match status.code() {
         Code::DeadlineExceeded => ResultCode::UnknownDeadline,
         Code::Cancelled => ResultCode::UnknownCancelled,
-        Code::Internal | Code::FailedPrecondition | Code::InvalidArgument | Code::Aborted => {
+        // Failures of the transport look the same, but carry their source.
+        Code::Internal | Code::FailedPrecondition | Code::InvalidArgument | Code::Aborted
+            if status.source().is_none() =>
+        {
             ResultCode::UpstreamFailed
         }
         _ => ResultCode::UnknownUpstreamLost,
+    })
+}
+
+/// Returns whether no connection to the upstream was made, so that nothing was sent.
+fn is_connect_failure(status: &Status) -> bool {
+    let mut source = status.source();
+    while let Some(error) = source {
+        if error.is::<tonic::ConnectError>() {
+            return true;
+        }
+        source = error.source();
     }
+    false
 }
