Change profiles in a trial and watch the versions that balancers hold

The event profile-change writes through the platform store, hands the accepted object to one balancer, and measures until every serving balancer holds it. A version that falls is counted as reverted.

--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -6,6 +6,7 @@
 mod event;
 mod measure;
 mod observer;
+mod operator;
 mod plots;
 mod process;
 mod report;
--- a/crates/trial/src/measure.rs
+++ b/crates/trial/src/measure.rs
@@ -8,6 +8,7 @@
 
 use crate::event::EventName;
 use crate::observer::{Observer, Seen, WorkOutcome};
+use crate::operator::ChangeCounts;
 use crate::process::UpstreamProcess;
 use crate::report::TrialReport;
 use crate::series;
@@ -52,6 +53,7 @@
     pub(crate) events: Vec<(Duration, EventName)>,
     pub(crate) silent_flows: Option<u64>,
     pub(crate) store_calls: u64,
+    pub(crate) changes: ChangeCounts,
 }
 
 impl Collected {
@@ -105,11 +107,25 @@
     let flood = collected.floods.first();
     report.flooding_service =
         flood.map(|flood| world.deployment.services[flood.service].name.clone());
+    count_changes(&collected.changes, report);
     report.last_new_work_after_drain_ms = last_new_work(&world.upstreams);
     let seconds = collected.length().as_secs_f64();
     report.store_calls_per_second = Some(collected.store_calls as f64 / seconds);
 }
 
+/// Measures exist only when a change was asked for.
+fn count_changes(changes: &ChangeCounts, report: &mut TrialReport) {
+    if changes.asked == 0 {
+        return;
+    }
+    report.config_accepted = Some(changes.accepted);
+    report.config_not_accepted = Some(changes.not_accepted);
+    report.config_open = Some(changes.open);
+    report.config_reverted = Some(changes.reverted);
+    let longest = changes.in_force.iter().max();
+    report.config_in_force_ms_max = longest.map(|longest| longest.as_millis() as u64);
+}
+
 fn count_flows(world: &World, observer: &Observer, seen: &Seen, report: &mut TrialReport) {
     let killed = world
         .upstreams
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -68,6 +68,12 @@
     pub outcomes: BTreeMap<String, u64>,
     /// Longest time from an accepted change to its use on every balancer.
     pub config_in_force_ms_max: Option<u64>,
+    /// Changes of profiles that the store accepted.
+    pub config_accepted: Option<u64>,
+    /// Changes that were refused because the store did not answer or had a newer version.
+    pub config_not_accepted: Option<u64>,
+    /// Changes with an open outcome.
+    pub config_open: Option<u64>,
     /// Balancers that went back to an older version.
     pub config_reverted: Option<u64>,
     /// Time from the beginning of a drain to the last new work, largest of all drains.
--- a/crates/trial/src/runner.rs
+++ b/crates/trial/src/runner.rs
@@ -8,6 +8,7 @@
 use displaydoc::Display;
 use hawthorntide_client::{CallError, CallerSocket};
 use hawthorntide_emulator::StoreFaults;
+use hawthorntide_platform::{ObjectStore, StoreError, StoreOptions};
 use hawthorntide_timeline::{
     Event, EventKind, HybridClock, Part, ProcessName, TimedEvent, Timeline, merge,
 };
@@ -20,6 +21,7 @@
 use crate::event::{EventName, TrialEvent};
 use crate::measure::{self, Collected, Flood, LoadSample, UpstreamLoad};
 use crate::observer::Observer;
+use crate::operator::Operator;
 use crate::report::TrialReport;
 use crate::world::{World, WorldError};
 
@@ -79,6 +81,8 @@
     World(WorldError),
     /// cannot start the callers: {0}
     Callers(CallError),
+    /// cannot reach the platform store: {0}
+    Store(StoreError),
     /// only {open} of {wanted} flows were open after {seconds} s
     Opening {
         /// Flows that were open.
@@ -123,6 +127,8 @@
         let bound = Callers::bind(&world, index, Arc::clone(&observer), options.seed);
         callers.push(bound.map_err(TrialError::Callers)?);
     }
+    let store = ObjectStore::open(world.store.address(), StoreOptions::default())
+        .map_err(TrialError::Store)?;
     let trial = Trial {
         world,
         callers,
@@ -133,7 +139,10 @@
         happened: Vec::new(),
         silent_flows: None,
         next_victim: options.seed as usize,
+        operator: Operator::new(store),
+        changes: 0,
     };
+    trial.watch_balancers();
     trial.open_flows().await?;
     trial.start_load().await;
     trial.run(options).await
@@ -149,6 +158,8 @@
     happened: Vec<(Duration, EventName)>,
     silent_flows: Option<u64>,
     next_victim: usize,
+    operator: Operator,
+    changes: usize,
 }
 
 impl Trial {
@@ -196,6 +207,8 @@
         let started = Instant::now();
         let length = Duration::from_secs(options.seconds);
         let calls_before = self.world.store.handle().counts().total();
+        let stop_watch = CancellationToken::new();
+        tokio::spawn(self.operator.clone().watch(stop_watch.clone()));
         let mut ticks = tokio::time::interval(SAMPLE);
         let mut progress = Progress::default();
         while started.elapsed() < length {
@@ -210,6 +223,7 @@
         let ended = self.observer.now();
         let store_calls = self.world.store.handle().counts().total() - calls_before;
         self.finish().await;
+        stop_watch.cancel();
         let collected = Collected {
             began,
             ended,
@@ -218,6 +232,7 @@
             events: self.happened,
             silent_flows: self.silent_flows,
             store_calls,
+            changes: self.operator.counts(),
         };
         let mut report = TrialReport {
             deployment: options.deployment.name.clone(),
@@ -243,7 +258,9 @@
             callers.stop_requests();
         }
         let end = Instant::now() + FINISH_LIMIT;
-        while self.observer.in_progress.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        let is_busy =
+            || self.observer.in_progress.load(Ordering::Relaxed) > 0 || !self.operator.is_settled();
+        while is_busy() && Instant::now() < end {
             tokio::time::sleep(SAMPLE).await;
         }
         self.observer.begin_stop();
@@ -285,15 +302,33 @@
             EventName::PlatformUp => self.set_store(|faults| *faults = StoreFaults::default()),
             EventName::PlatformSlow => self.set_store(|faults| faults.delay_ms = SLOW_STORE),
             EventName::LostAnswers => self.world.store.handle().lose_next_answers(LOST_ANSWERS),
-            EventName::ProfileChange => log::warn!("trial: Profiles cannot be changed yet."),
+            EventName::ProfileChange => self.change_profile(),
             EventName::FloodLeast => self.flood(Urgency::Low),
             EventName::FloodMost => self.flood(Urgency::High),
             EventName::SilentFlows => self.silence_flows(),
             EventName::PauseBalancer => self.pause_balancer(),
         }
+        self.watch_balancers();
         Ok(())
     }
 
+    /// Tells the operator which balancers serve.
+    fn watch_balancers(&self) {
+        let balancers = self.world.balancers.iter();
+        let serving = balancers.filter_map(|process| {
+            let control = process.balancer.as_ref()?.control();
+            Some((process.control_address, control))
+        });
+        self.operator.set_balancers(serving.collect());
+    }
+
+    fn change_profile(&mut self) {
+        let profiles = &self.world.deployment.profiles;
+        let profile = profiles[self.changes % profiles.len()].clone();
+        self.changes += 1;
+        tokio::spawn(self.operator.clone().change(profile));
+    }
+
     fn serving_balancer(&mut self) -> Option<usize> {
         let balancers = self.world.balancers.iter().enumerate();
         let serving: Vec<_> = balancers
