Drive each event of a trial through the real binary

A caller that was paused itself closed its connections as silent 200 ms after its pause; it now starts listening anew. Flows of a killed upstream whose callers have not noticed the loss before the end are counted.

--- a/crates/client/src/socket.rs
+++ b/crates/client/src/socket.rs
@@ -24,6 +24,9 @@
 /// Interval at which a connection looks for received packets.
 const SILENCE_POLL: Duration = Duration::from_millis(200);
 
+/// Time between two looks above which the caller itself was paused.
+const OWN_PAUSE: Duration = Duration::from_secs(1);
+
 /// Code by which a caller closes a connection whose agent does not respond.
 const CLOSE_SILENT: u32 = 1;
 
@@ -121,28 +124,34 @@
     /// closes it when it stays silent there.
     async fn watch(self, connection: quinn::Connection) {
         let mut received = 0;
-        let mut last_heard = Instant::now();
-        let mut has_moved = false;
+        let mut heard_at = Instant::now();
+        let mut moved_at = None;
+        let mut polled_at = Instant::now();
         loop {
             tokio::select! {
                 _ = connection.closed() => return,
                 () = tokio::time::sleep(SILENCE_POLL) => {}
             }
             let now_received = connection.stats().udp_rx.datagrams;
-            if now_received != received {
+            // A pause of the caller itself says nothing about the path.
+            let was_paused = polled_at.elapsed() > OWN_PAUSE;
+            polled_at = Instant::now();
+            if now_received != received || was_paused {
                 received = now_received;
-                last_heard = Instant::now();
-                has_moved = false;
+                heard_at = polled_at;
+                moved_at = None;
                 continue;
             }
-            let silence = last_heard.elapsed();
-            if has_moved && silence >= SILENCE_LIMIT + GONE_LIMIT {
-                connection.close(VarInt::from_u32(CLOSE_SILENT), b"silent");
-                return;
-            }
-            if !has_moved && silence >= SILENCE_LIMIT {
-                has_moved = true;
-                self.move_once();
+            match moved_at {
+                None if heard_at.elapsed() >= SILENCE_LIMIT => {
+                    moved_at = Some(polled_at);
+                    self.move_once();
+                }
+                Some(at) if polled_at.duration_since(at) >= GONE_LIMIT => {
+                    connection.close(VarInt::from_u32(CLOSE_SILENT), b"silent");
+                    return;
+                }
+                None | Some(_) => {}
             }
         }
     }
--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -9,7 +9,7 @@
 use hawthorntide_emulator::WorkOrder;
 use hawthorntide_routing::ConnectionIdCodec;
 use hawthorntide_timeline::EventKind;
-use hawthorntide_types::{ResultCode, ServiceId, ServiceName, WorkKind};
+use hawthorntide_types::{EndpointId, ResultCode, ServiceId, ServiceName, WorkKind};
 use prost::Message;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -138,6 +138,25 @@
         self.stop.cancel();
     }
 
+    /// Counts open flows of killed endpoints whose callers have not noticed the loss yet.
+    pub(crate) fn count_unnoticed_losses(&self, killed: &[EndpointId]) {
+        let flows = self.flows.read().unwrap_or_else(PoisonError::into_inner);
+        for open in flows.iter() {
+            let caller = open.flow.caller();
+            let endpoint = self.endpoint_of(&caller);
+            let is_killed = endpoint.is_some_and(|endpoint| killed.contains(&endpoint));
+            if is_killed && caller.close_reason().is_none() {
+                let loss = FlowLoss {
+                    at: self.observer.now(),
+                    endpoint,
+                    reason: format!("{}: not noticed before the end", self.name),
+                };
+                self.observer
+                    .record_loss(self.id, ResultCode::UnknownAgentGone, loss);
+            }
+        }
+    }
+
     fn random<T>(&self, choose: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
         choose(&mut random)
@@ -261,7 +280,7 @@
         service.is_some_and(|service| service != self.id.get().to_be_bytes())
     }
 
-    fn endpoint_of(&self, caller: &Caller) -> Option<hawthorntide_types::EndpointId> {
+    fn endpoint_of(&self, caller: &Caller) -> Option<EndpointId> {
         let token = self.codec.decode(&caller.resume().connection_id)?;
         Some(token.endpoint)
     }
--- a/crates/trial/src/measure.rs
+++ b/crates/trial/src/measure.rs
@@ -111,6 +111,8 @@
     report.last_new_work_after_drain_ms = last_new_work(&world.upstreams);
     let seconds = collected.length().as_secs_f64();
     report.store_calls_per_second = Some(collected.store_calls as f64 / seconds);
+    let broken = report.broken_promises().into_iter();
+    report.broken_promises = broken.map(|promise| promise.to_string()).collect();
 }
 
 /// Measures exist only when a change was asked for.
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -80,6 +80,8 @@
     pub last_new_work_after_drain_ms: Option<u64>,
     /// Control traffic of the process with the most.
     pub control_bytes_per_second_max: Option<u64>,
+    /// Promises that the measures contradict.
+    pub broken_promises: Vec<String>,
     /// Calls to the platform store per second over all processes.
     pub store_calls_per_second: Option<f64>,
 }
--- a/crates/trial/src/runner.rs
+++ b/crates/trial/src/runner.rs
@@ -263,6 +263,12 @@
         while is_busy() && Instant::now() < end {
             tokio::time::sleep(SAMPLE).await;
         }
+        let upstreams = self.world.upstreams.iter();
+        let killed = upstreams.filter(|upstream| upstream.was_killed);
+        let killed: Vec<_> = killed.map(|upstream| upstream.endpoint).collect();
+        for callers in &self.callers {
+            callers.count_unnoticed_losses(&killed);
+        }
         self.observer.begin_stop();
     }
 
--- /dev/null
+++ b/tests/trial.rs
@@ -0,0 +1,222 @@
+//! Guards the command `trial` and the promises that hold at any speed of the host.
+//!
+//! Every check here gives the same verdict on a slow host: no check compares a duration with a limit.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use googletest::prelude::*;
+use hawthorntide_types::ResultCode;
+use serde_json::Value;
+
+/// Length of the measured part.
+const SECONDS: &str = "4";
+/// Counts that are zero whatever happens and however slow the host is.
+const ALWAYS_ZERO: [&str; 5] = [
+    "misdelivered_packets",
+    "run_twice",
+    "not_run_but_run",
+    "answers_incomplete",
+    "broken_flows",
+];
+/// Keys that a report has in any case.
+const KEYS: [&str; 17] = [
+    "flows_opened",
+    "broken_flows",
+    "flows_lost_to_kills",
+    "misdelivered_packets",
+    "imbalance",
+    "flooding_service",
+    "goodput_kept_percent",
+    "reservations",
+    "run_twice",
+    "not_run_but_run",
+    "unknown",
+    "answers_incomplete",
+    "config_in_force_ms_max",
+    "config_reverted",
+    "last_new_work_after_drain_ms",
+    "control_bytes_per_second_max",
+    "broken_promises",
+];
+/// Promises whose limit is a duration; a host that stands still for seconds can break them.
+const TIMED_PROMISES: [&str; 2] = [
+    "a draining upstream gets no new work after 3 s",
+    "an accepted change is in force everywhere within 4 s",
+];
+
+fn file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+}
+
+fn trial(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_hawthorntide"))
+        .arg("trial")
+        .args(arguments)
+        .output()
+        .expect("the binary can be run")
+}
+
+/// Runs a trial with `events` and returns its report after the checks that hold for all events.
+fn report(name: &str, events: &[&str]) -> Value {
+    let report = std::env::temp_dir().join(format!("trial-{}-{name}.json", std::process::id()));
+    let deployment = file("tests/data/small.jsonc");
+    let mut arguments = vec![
+        deployment.to_str().expect("the path is text"),
+        "--seconds",
+        SECONDS,
+        "--report",
+        report.to_str().expect("the path is text"),
+    ];
+    for event in events {
+        arguments.extend(["--event", event]);
+    }
+    let output = trial(&arguments);
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    let text = std::fs::read_to_string(&report).unwrap_or_else(|_| panic!("no report: {errors}"));
+    std::fs::remove_file(&report).expect("the report was read");
+    let report: Value = serde_json::from_str(&text).expect("the report is JSON");
+    for key in ALWAYS_ZERO {
+        expect_that!(report[key].as_u64(), some(eq(0)), "{key}: {errors}");
+    }
+    let answered = report["answered"].as_u64();
+    expect_that!(answered, some(gt(0)), "nothing was answered: {errors}");
+    let broken = report["broken_promises"].as_array().expect("is a list");
+    let is_timed = |promise: &Value| TIMED_PROMISES.contains(&promise.as_str().unwrap_or(""));
+    expect_that!(broken.iter().all(is_timed), eq(true), "{broken:?}");
+    let code = if broken.is_empty() {
+        ResultCode::Ok
+    } else {
+        ResultCode::PromiseBroken
+    };
+    let status = output.status.code();
+    expect_that!(status, some(eq(i32::from(code.number()))), "{errors}");
+    report
+}
+
+/// Guards against a report that lacks a key or states a measure that was not taken.
+#[gtest]
+fn calm_trial_reports_all_keys_and_no_measure_that_was_not_taken() {
+    let report = report("calm", &[]);
+    for key in KEYS {
+        expect_that!(report.get(key), some(anything()), "{key}");
+    }
+    for key in [
+        "flooding_service",
+        "last_new_work_after_drain_ms",
+        "config_in_force_ms_max",
+        "config_reverted",
+    ] {
+        expect_that!(report[key].is_null(), eq(true), "{key}");
+    }
+    expect_that!(report["flows_lost_to_kills"].as_u64(), some(eq(0)));
+    expect_that!(report["goodput_kept_percent"]["pages"].is_null(), eq(true));
+}
+
+/// Guards against flows that end when balancers stop, die, join or pause.
+#[gtest]
+fn balancer_stop_breaks_no_flow() {
+    report("balancer-stop", &["balancer-stop@1"]);
+}
+
+/// Guards against flows that depend on one balancer.
+#[gtest]
+fn balancer_kill_breaks_no_flow() {
+    report("balancer-kill", &["balancer-kill@1"]);
+}
+
+/// Guards against a new balancer that sends packets of open flows elsewhere.
+#[gtest]
+fn balancer_join_breaks_no_flow() {
+    report("balancer-join", &["balancer-join@1", "balancer-join@2"]);
+}
+
+/// Guards against a paused balancer that acts on its old view.
+#[gtest]
+fn paused_balancer_breaks_no_flow() {
+    report("pause-balancer", &["pause-balancer@1"]);
+}
+
+/// Guards against a drain that ends streams.
+#[gtest]
+fn upstream_drain_breaks_no_flow() {
+    let report = report("upstream-drain", &["upstream-drain@1"]);
+    expect_that!(report["last_new_work_after_drain_ms"].is_u64(), eq(true));
+}
+
+/// Guards against lost flows of a killed upstream that count as broken, or are not counted.
+#[gtest]
+fn upstream_kill_loses_only_its_own_flows() {
+    let report = report("upstream-kill", &["upstream-kill@1"]);
+    expect_that!(report["flows_lost_to_kills"].as_u64(), some(gt(0)));
+}
+
+/// Guards against a new upstream that gets packets of open flows.
+#[gtest]
+fn upstream_join_breaks_no_flow() {
+    report("upstream-join", &["upstream-join@1", "upstream-join@1.5"]);
+}
+
+/// Guards against planned changes that break flows only when they come together.
+#[gtest]
+fn planned_changes_together_break_no_flow() {
+    let events = [
+        "balancer-stop@1",
+        "upstream-drain@1",
+        "upstream-join@1",
+        "balancer-join@1",
+        "profile-change@1",
+    ];
+    report("together", &events);
+}
+
+/// Guards against callers' work that needs the platform store, and against a change that reverts.
+#[gtest]
+fn outage_of_the_store_stops_no_work() {
+    let events = [
+        "profile-change@0.5",
+        "platform-down@1",
+        "profile-change@1.5",
+        "platform-up@2.5",
+    ];
+    let report = report("platform", &events);
+    expect_that!(report["config_reverted"].as_u64(), some(eq(0)));
+}
+
+/// Guards against a change that is lost or applied twice when the store is slow or its answers are lost.
+#[gtest]
+fn slow_store_with_lost_answers_reverts_no_change() {
+    let events = ["lost-answers@0.5", "profile-change@1", "platform-slow@2"];
+    let report = report("store", &events);
+    expect_that!(report["config_reverted"].as_u64(), some(eq(0)));
+}
+
+/// Guards against a flood that is reported under another service or not at all.
+#[gtest]
+fn floods_name_the_flooding_service() {
+    for (event, service) in [("flood-least@1", "orders"), ("flood-most@1", "orders")] {
+        let report = report("flood", &[event]);
+        expect_that!(report["flooding_service"].as_str(), some(eq(service)));
+    }
+}
+
+/// Guards against flows that end when their path goes silent.
+#[gtest]
+fn silent_flows_move_and_go_on() {
+    let report = report("silent-flows", &["silent-flows@0.5"]);
+    expect_that!(report["silent_flows"].as_u64(), some(gt(0)));
+}
+
+/// Guards against a wrong event or file that is run as something else.
+#[gtest]
+fn wrong_arguments_are_refused_before_anything_starts() {
+    let deployment = file("tests/data/small.jsonc");
+    let deployment = deployment.to_str().expect("the path is text");
+    let output = trial(&[deployment, "--event", "balancer-pause@1"]);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    expect_that!(output.status.code(), some(eq(2)));
+    expect_that!(errors, contains_substring("pause-balancer"));
+    let output = trial(&["tests/data/missing.jsonc"]);
+    let code = i32::from(ResultCode::SettingsInvalid.number());
+    expect_that!(output.status.code(), some(eq(code)));
+}
