--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -250,7 +250,7 @@
         eq(code(ResultCode::AddressInUse)),
         "{balancer:?}"
     );
-    expect_that!(balancer.stderr, contains_substring(&address));
+    expect_that!(balancer.stderr, contains_substring(address.as_str()));
     let key = directory.path("keys/cluster.key");
     std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o640)).unwrap();
     let exposed = start("balancer");
