Check services against the profiles given with them

A service that follows a missing profile, or takes another one's address, was found only when it was stored. check now takes profiles and services of one call together.

--- a/crates/emulator/tests/store.rs
+++ b/crates/emulator/tests/store.rs
@@ -23,6 +23,16 @@
     store: ObjectStore,
 }
 
+impl Setup {
+    /// Waits until the fault has reached the listener, which takes long on a busy machine.
+    async fn wait_until_down(&self, is_down: bool) {
+        let is_refused = || std::net::TcpStream::connect(self.server.address()).is_err();
+        while is_refused() != is_down {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
 fn setup() -> Setup {
     setup_with(StoreServerOptions::default())
 }
@@ -181,7 +191,7 @@
         is_down: true,
         ..StoreFaults::default()
     });
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    s.wait_until_down(true).await;
     let start = Instant::now();
     let outcome = s.store.put_if(&key("b"), &json!(1), Version::NONE).await;
     expect_that!(outcome, eq(&WriteOutcome::NotAccepted));
@@ -191,7 +201,7 @@
     );
     expect_that!(start.elapsed(), lt(Duration::from_secs(3)));
     s.handle.set_faults(StoreFaults::default());
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    s.wait_until_down(false).await;
     let again = s.store.put_if(&key("b"), &json!(1), Version::NONE).await;
     expect_that!(again, pat!(WriteOutcome::Accepted(_)));
 }
@@ -246,7 +256,7 @@
         panic!("expected an open outcome, got {outcome:?}");
     };
     s.handle.set_faults(StoreFaults::default());
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    s.wait_until_down(false).await;
     let asked = s.store.outcome_of(&key("a"), Version::NONE, write_id).await;
     expect_that!(asked, eq(&WriteOutcome::Accepted(Version(1))));
 }
--- a/src/check.rs
+++ b/src/check.rs
@@ -1,40 +1,68 @@
 //! Command `check`: checks settings files, profiles and services.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-use hawthorntide_configuration::{SettingsProblem, check_profile, check_service_file, open};
+use hawthorntide_configuration::{
+    Catalog, SettingsProblem, check_profile, check_service_file, open,
+};
 use hawthorntide_types::ResultCode;
 
 use crate::cli::CheckArguments;
 
+/// What a file describes.
+enum Content {
+    Profile(String),
+    Service(String),
+    Settings,
+}
+
 /// Prints every problem; the code is that of the first one.
 pub(crate) fn run(arguments: &CheckArguments) -> ResultCode {
     let mut code = ResultCode::Ok;
-    for file in &arguments.files {
-        for problem in check(file) {
-            eprintln!("{problem} ({})", problem.code);
-            if code == ResultCode::Ok {
-                code = problem.code;
-            }
+    for problem in check_all(&arguments.files) {
+        eprintln!("{problem} ({})", problem.code);
+        if code == ResultCode::Ok {
+            code = problem.code;
         }
     }
     code
 }
 
+/// Checks services against each other and, when profiles are given, against these.
+fn check_all(files: &[PathBuf]) -> Vec<SettingsProblem> {
+    let mut catalog = Catalog::default();
+    let mut problems = Vec::new();
+    let mut services = Vec::new();
+    for path in files {
+        let file = path.display().to_string();
+        match content(path) {
+            Content::Profile(text) => match check_profile(&text, &file) {
+                Ok(profile) => catalog.profiles.push(profile),
+                Err(found) => problems.extend(found),
+            },
+            Content::Service(text) => services.push((file, text)),
+            Content::Settings => problems.extend(open(path).err().unwrap_or_default()),
+        }
+    }
+    let has_profiles = !catalog.profiles.is_empty();
+    for (file, text) in services {
+        let catalog_of_call = has_profiles.then_some(&catalog);
+        match check_service_file(&text, &file, catalog_of_call) {
+            Ok(service) => catalog.services.push(service),
+            Err(found) => problems.extend(found),
+        }
+    }
+    problems
+}
+
 /// A file with `work` is a profile, one with `addresses` a service, any other a settings file.
-fn check(path: &Path) -> Vec<SettingsProblem> {
-    let file = path.display().to_string();
+fn content(path: &Path) -> Content {
     let text = std::fs::read_to_string(path).unwrap_or_default();
-    let problems = if has_field(&text, "work") {
-        check_profile(&text, &file).map(|_| ()).err()
-    } else if has_field(&text, "addresses") {
-        check_service_file(&text, &file, None).map(|_| ()).err()
+    if text.contains("\"work\"") {
+        Content::Profile(text)
+    } else if text.contains("\"addresses\"") {
+        Content::Service(text)
     } else {
-        open(path).map(|_| ()).err()
-    };
-    problems.unwrap_or_default()
-}
-
-fn has_field(text: &str, field: &str) -> bool {
-    text.contains(&format!("\"{field}\""))
+        Content::Settings
+    }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -61,7 +61,9 @@
 #[derive(Args, Debug)]
 #[command(after_help = "Examples:
   hawthorntide check balancer.jsonc
-  hawthorntide check profiles/*.jsonc services/*.jsonc")]
+  hawthorntide check profiles/*.jsonc services/*.jsonc
+
+Services are checked against the profiles that are given with them.")]
 pub(crate) struct CheckArguments {
     /// Settings files, profiles and services, each JSON with comments.
     #[arg(required = true)]
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -229,6 +229,15 @@
     let service = r#"{ "name": "a", "addresses": ["10.0.0.1:443"], "profile": "day" }"#;
     let service = directory.write("a.jsonc", service);
     expect_that!(run(&["check", &profile, &service]).code, eq(0));
+    let night = directory.write("night.jsonc", &PROFILE.replace("\"day\"", "\"night\""));
+    let missing = run(&["check", &service, &night]);
+    expect_that!(missing.code, eq(code(ResultCode::SettingsInvalid)));
+    let reason = "a.jsonc:1: profile: the profile day does not exist";
+    expect_that!(missing.stderr, contains_substring(reason));
+    let thief = r#"{ "name": "b", "addresses": ["10.0.0.1:443"], "profile": "day" }"#;
+    let thief = directory.write("b.jsonc", thief);
+    let twice = run(&["check", &profile, &service, &thief]);
+    expect_that!(twice.stderr, contains_substring("belongs to the service a"));
 }
 
 // Guards against a process that starts with wrong settings, or whose failure has no code.
