Test the outcomes of writes under random faults

Each fault had its own test, their mixes had none. Four operators change one object while answers are lost, the store is slow, over its call limit and down for a moment; the history of the store judges what each was told.

--- /dev/null
+++ b/crates/emulator/tests/store_faults.rs
@@ -0,0 +1,125 @@
+//! Guards the outcomes of writes against any mix of faults, with the history of the store as judge.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorntide_emulator::{StoreFaults, StoreServer, StoreServerOptions};
+use hawthorntide_platform::{
+    ObjectKey, ObjectKind, ObjectStore, StoreOptions, StoredObject, WriteId, WriteOutcome,
+};
+use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Version};
+use proptest::prelude::{Strategy, prop_assert, proptest};
+use proptest::test_runner::{Config, TestCaseError};
+use serde_json::json;
+
+const OPERATORS: u64 = 4;
+const WRITES: u64 = 6;
+/// Longer than any delayed write needs to take effect.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Write of one operator and what it was told.
+#[derive(Debug)]
+struct Told {
+    write_id: WriteId,
+    outcome: WriteOutcome,
+}
+
+fn faults() -> impl Strategy<Value = StoreFaults> {
+    let limit = proptest::option::of(20_u32..200);
+    (0..500_u16, 0..200_u64, limit).prop_map(|(lost, delay_ms, limit)| StoreFaults {
+        lost_answers_per_mille: PerMille(lost),
+        delay_ms: DurationMs(delay_ms),
+        call_limit: limit.map(RatePerSecond),
+        ..StoreFaults::default()
+    })
+}
+
+/// Writes to one object again and again on top of what it reads.
+async fn operate(store: Arc<ObjectStore>, operator: u64) -> Vec<Told> {
+    let key = ObjectKey::new(ObjectKind::Profile, "day").unwrap();
+    let mut told = Vec::new();
+    let mut expected = Version::NONE;
+    for number in 0..WRITES {
+        // A store that is too slow for reads still gets writes, on top of what was last known.
+        if let Ok(current) = store.get(&key).await {
+            expected = current.map_or(Version::NONE, |it| it.version);
+        }
+        let write_id = WriteId::random();
+        let value = json!([operator, number]);
+        let outcome = if number == WRITES / 2 {
+            store.delete_if_as(&key, expected, write_id.clone()).await
+        } else {
+            store
+                .put_if_as(&key, &value, expected, write_id.clone())
+                .await
+        };
+        told.push(Told { write_id, outcome });
+    }
+    told
+}
+
+fn judge(told: &Told, history: &[StoredObject]) -> Result<(), TestCaseError> {
+    let mut made = history
+        .iter()
+        .filter(|it| it.write_id.as_ref() == Some(&told.write_id));
+    let found = made.next().map(|it| it.version);
+    prop_assert!(made.next().is_none(), "{told:?} took effect twice");
+    let is_true = match &told.outcome {
+        WriteOutcome::Accepted(version) => found == Some(*version),
+        WriteOutcome::Conflict { .. } | WriteOutcome::NotAccepted => found.is_none(),
+        WriteOutcome::Open { .. } => true,
+    };
+    prop_assert!(is_true, "{told:?}, but the store has {found:?}");
+    Ok(())
+}
+
+async fn run(seed: u64, first: StoreFaults, second: StoreFaults) -> Result<(), TestCaseError> {
+    let options = StoreServerOptions {
+        seed,
+        ..StoreServerOptions::default()
+    };
+    let server = StoreServer::bind("127.0.0.1:0".parse().unwrap(), options).unwrap();
+    let handle = server.handle();
+    handle.set_faults(first);
+    let mut operators = Vec::new();
+    for operator in 0..OPERATORS {
+        let options = StoreOptions {
+            deadline_ms: DurationMs(400),
+            attempt_ms: DurationMs(100),
+            seed: seed + operator,
+        };
+        let store = Arc::new(ObjectStore::open(server.address(), options).unwrap());
+        operators.push(tokio::spawn(operate(store, operator)));
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    handle.set_faults(StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    handle.set_faults(second);
+    let mut told = Vec::new();
+    for operator in operators {
+        told.extend(operator.await.unwrap());
+    }
+    tokio::time::sleep(SETTLE).await;
+    handle.set_faults(StoreFaults::default());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let store = ObjectStore::open(server.address(), StoreOptions::default()).unwrap();
+    let history = store.watch(Version::NONE, DurationMs(0)).await.unwrap();
+    for told in &told {
+        judge(told, &history.objects)?;
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(Config::with_cases(8))]
+
+    // Guards against an accepted write that is not in the store, a refused one that is, and a write
+    // that took effect twice.
+    #[test]
+    fn outcomes_are_true_under_any_faults(seed in 0..1_000_000_u64, first in faults(), second in faults()) {
+        tokio::runtime::Runtime::new().unwrap().block_on(run(seed, first, second))?;
+    }
+}
