Begin a stream at another agent when a draining one refuses it

The test of an upstream drain lost 6 streams: their connections were open when the drain began, and the stream request came after it. The agent refuses it as not run, which the flow passed to the caller as the end of the stream. A flow now opens such a stream on a new connection, since nothing of it had begun.

--- a/crates/client/src/flow.rs
+++ b/crates/client/src/flow.rs
@@ -95,8 +95,16 @@
     }
 
     /// Opens a stream of messages on the present connection.
-    pub async fn open_stream(&self, payload: Vec<u8>) -> Result<CallStream, ResultCode> {
-        self.caller().open_stream(payload).await
+    pub async fn open_stream(&self, payload: Vec<u8>) -> Result<FlowStream<'_>, ResultCode> {
+        let caller = self.caller();
+        let stream = caller.open_stream(payload.clone()).await?;
+        Ok(FlowStream {
+            flow: self,
+            caller,
+            stream,
+            payload,
+            has_begun: false,
+        })
     }
 
     /// Replaces the connection `lost`, unless that has happened already, and returns the present one.
@@ -150,6 +158,41 @@
     }
 }
 
+/// Stream of messages on one connection of a flow.
+#[derive(Debug)]
+pub struct FlowStream<'a> {
+    flow: &'a Flow,
+    caller: Arc<Caller>,
+    stream: CallStream,
+    payload: Vec<u8>,
+    has_begun: bool,
+}
+
+impl FlowStream<'_> {
+    /// Returns the connection that carries the stream.
+    pub const fn caller(&self) -> &Arc<Caller> {
+        &self.caller
+    }
+
+    /// Waits for the next message; `None` when the stream has ended whole. A draining agent refuses a
+    /// stream before its first message; the stream then begins at another agent.
+    pub async fn next_message(&mut self) -> Result<Option<Vec<u8>>, ResultCode> {
+        loop {
+            let message = self.stream.next_message().await;
+            let is_refused = message == Err(ResultCode::NotRunDraining) && !self.has_begun;
+            if !is_refused {
+                self.has_begun = true;
+                return message;
+            }
+            let Ok(caller) = self.flow.replace(&self.caller, None).await else {
+                return message;
+            };
+            self.caller = caller;
+            self.stream = self.caller.open_stream(self.payload.clone()).await?;
+        }
+    }
+}
+
 /// Returns the call with the time that is left, or `None` when its deadline has passed.
 fn with_time_left(call: &Call, end: Instant) -> Option<Call> {
     if call.deadline_ms.get() == 0 {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use answer::{Answer, AnswerReader};
 pub use call::{Call, CallStream};
-pub use flow::Flow;
+pub use flow::{Flow, FlowStream};
 pub use session::{Caller, Resume};
 pub use socket::{CallerOptions, CallerSocket};
 
--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -211,9 +211,7 @@
     async fn use_flow(&self, flow: &Flow, has_stream: bool) {
         loop {
             let (caller, code) = if has_stream {
-                let caller = flow.caller();
-                let code = self.read_stream(&caller).await;
-                (caller, code)
+                self.read_stream(flow).await
             } else {
                 (flow.lost().await, ResultCode::UnknownAgentGone)
             };
@@ -246,21 +244,23 @@
     }
 
     /// Reads a stream until it ends, and checks each message.
-    async fn read_stream(&self, caller: &Caller) -> ResultCode {
+    async fn read_stream(&self, flow: &Flow) -> (Arc<Caller>, ResultCode) {
         let order = self.order(0);
-        let mut stream = match caller.open_stream(order.encode_to_vec()).await {
+        let caller = flow.caller();
+        let mut stream = match flow.open_stream(order.encode_to_vec()).await {
             Ok(stream) => stream,
-            Err(code) => return code,
+            Err(code) => return (caller, code),
         };
         let mut number = 0;
-        loop {
+        let code = loop {
             match stream.next_message().await {
                 Ok(Some(message)) => self.check_message(&order, number, &message),
-                Ok(None) => return ResultCode::AnswerCut,
-                Err(code) => return code,
+                Ok(None) => break ResultCode::AnswerCut,
+                Err(code) => break code,
             }
             number += 1;
-        }
+        };
+        (Arc::clone(stream.caller()), code)
     }
 
     fn check_message(&self, order: &WorkOrder, number: u64, message: &[u8]) {
