--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -6,20 +6,17 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use hawthorntide_configuration::{SLOTS_PER_DOMAIN, WatcherMachine, slot_name};
 use hawthorntide_membership::{BalancerIdentity, ControlGate, GossipMachine};
-use hawthorntide_platform::{ObjectStore, StoreOptions};
 use hawthorntide_routing::{ConnectionIdCodec, KeyRing, RoutingTable};
 use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
 use hawthorntide_wire::ControlCodec;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::control::{Command, ControlHandle, ControlPlane, MAX_COMMANDS};
 use crate::forward;
-use crate::watcher::Watcher;
 
 /// Time without packets after which a draining balancer ends.
 const QUIET: Duration = Duration::from_secs(2);
@@ -56,8 +53,6 @@
     pub services: Vec<Service>,
     /// Control addresses of balancers that may be up.
     pub peers: Vec<SocketAddr>,
-    /// Address of the platform store; without one, no watcher slot is taken.
-    pub store_address: Option<SocketAddr>,
     /// Address of the administration API.
     pub admin_address: Option<SocketAddr>,
     /// Opens and seals control messages.
@@ -78,11 +73,6 @@
         /// Failure of the system.
         source: std::io::Error,
     },
-    /// cannot prepare calls of the platform store at {address}
-    Store {
-        /// Address of the store.
-        address: SocketAddr,
-    },
 }
 
 impl std::error::Error for BalancerError {}
@@ -102,7 +92,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) table: RwLock<RoutingTable>,
-    pub(crate) codec: ConnectionIdCodec,
+    pub(crate) codec: watch::Sender<ConnectionIdCodec>,
     pub(crate) ingress: Ingress,
     pub(crate) started: tokio::time::Instant,
     pub(crate) packets_forwarded: AtomicU64,
@@ -142,7 +132,7 @@
         }
         let shared = Arc::new(Shared {
             table: RwLock::new(table),
-            codec: ConnectionIdCodec::new(options.keys),
+            codec: watch::Sender::new(ConnectionIdCodec::new(options.keys)),
             ingress: options.ingress,
             started: tokio::time::Instant::now(),
             packets_forwarded: AtomicU64::new(0),
@@ -176,7 +166,6 @@
             data,
             service_sockets,
         ));
-        let watched_domain = options.failure_domain.clone();
         let identity = BalancerIdentity {
             incarnation: options.incarnation,
             control_address,
@@ -194,21 +183,6 @@
             received,
         );
         tasks.spawn(plane.run(options.peers));
-        if let Some(address) = options.store_address {
-            let store = ObjectStore::open(address, StoreOptions::default())
-                .map_err(|_| BalancerError::Store { address })?;
-            let node = NodeId::of_address(control_address);
-            let watcher = Watcher {
-                shared: Arc::clone(&shared),
-                store: Arc::new(store),
-                control: ControlHandle::new(commands.clone()),
-                slot_names: (0..SLOTS_PER_DOMAIN)
-                    .map(|slot| slot_name(&watched_domain, slot))
-                    .collect(),
-                machine: WatcherMachine::new(node, watched_domain, rand::random()),
-            };
-            tasks.spawn(watcher.run());
-        }
         log::info!(
             "balancer: Node {} forwards at {data_address}.",
             NodeId::of_address(control_address)
@@ -246,6 +220,11 @@
         }
     }
 
+    /// Takes another key ring; a flow goes on while the ring holds the key of its identifier.
+    pub fn rotate_keys(&self, keys: KeyRing) {
+        self.shared.codec.send_replace(ConnectionIdCodec::new(keys));
+    }
+
     /// Forwards until no packet came for two seconds or `limit` passes, then stops.
     pub async fn drain(self, limit: DurationMs) -> BalancerReport {
         self.control().announce_drain().await;
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -18,7 +18,6 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::balancer::Shared;
-use crate::watcher::WatcherView;
 
 /// Interval of the machine's ticks.
 const TICK: Duration = Duration::from_millis(100);
@@ -42,8 +41,6 @@
     },
     /// Try more addresses of balancers.
     AddPeers(Vec<SocketAddr>),
-    /// Return what the watcher needs.
-    WatcherView(oneshot::Sender<WatcherView>),
     /// Return the view of the members.
     View(oneshot::Sender<MembershipView>),
     /// Return the objects that are not deleted.
@@ -114,12 +111,6 @@
         self.send(Command::AddPeers(peers)).await;
     }
 
-    pub(crate) async fn watcher_view(&self) -> Option<WatcherView> {
-        let (reply, view) = oneshot::channel();
-        self.send(Command::WatcherView(reply)).await;
-        view.await.ok()
-    }
-
     /// Returns the members that the balancer knows; `None` when it has stopped.
     pub async fn view(&self) -> Option<MembershipView> {
         let (reply, view) = oneshot::channel();
@@ -253,13 +244,6 @@
                 self.handle(event).await;
             }
             Command::AddPeers(peers) => self.handle(GossipEvent::SeedPeers(peers)).await,
-            Command::WatcherView(reply) => {
-                let view = WatcherView {
-                    claims: self.machine.watcher_claims(),
-                    peers: self.machine.directory(),
-                };
-                drop(reply.send(view));
-            }
             Command::View(reply) => {
                 let view = MembershipView {
                     balancers: self.machine.balancers().cloned().collect(),
--- a/crates/balancer/tests/membership.rs
+++ b/crates/balancer/tests/membership.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use googletest::prelude::*;
-use hawthorntide_balancer::{Balancer, BalancerOptions, Ingress, MembershipView};
+use hawthorntide_balancer::{Balancer, BalancerOptions, Ingress, MembershipView, StoreLink};
 use hawthorntide_configuration::Object;
 use hawthorntide_emulator::{StoreFaults, StoreServer, StoreServerOptions};
 use hawthorntide_membership::{
@@ -14,12 +14,14 @@
 use hawthorntide_platform::{ObjectKey, ObjectKind, ObjectStore, StoreOptions, WriteOutcome};
 use hawthorntide_routing::{KeyRing, RoutingKey};
 use hawthorntide_types::{
-    DurationMs, EndpointId, Incarnation, Phase, ServiceId, ServiceName, SlotCount, TimeMs, Version,
+    DurationMs, EndpointId, Incarnation, NodeId, Phase, ServiceId, ServiceName, SlotCount, TimeMs,
+    Version,
 };
 use hawthorntide_wire::{ClusterKey, ControlCodec};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 const DOMAINS: [&str; 3] = ["bzh-rns", "bzh-brs", "bzh-vns"];
 
@@ -36,7 +38,7 @@
     ControlCodec::new("test", ClusterKey::new([3; 32]))
 }
 
-fn options(domain: &str, peers: &[SocketAddr], store: Option<SocketAddr>) -> BalancerOptions {
+fn options(domain: &str, peers: &[SocketAddr]) -> BalancerOptions {
     BalancerOptions {
         failure_domain: domain.parse().unwrap(),
         region: "bzh".parse().unwrap(),
@@ -47,7 +49,6 @@
         },
         services: Vec::new(),
         peers: peers.to_vec(),
-        store_address: store,
         admin_address: None,
         control: codec(),
         keys: KeyRing::new(RoutingKey::new(1, [2; 16]), None).unwrap(),
@@ -59,12 +60,27 @@
     let mut running: Vec<Balancer> = Vec::new();
     for index in 0..count {
         let peers: Vec<SocketAddr> = running.iter().map(Balancer::control_address).collect();
-        let options = options(DOMAINS[index % 3], &peers, store);
-        running.push(Balancer::spawn(options).await.unwrap());
+        let balancer = Balancer::spawn(options(DOMAINS[index % 3], &peers))
+            .await
+            .unwrap();
+        if let Some(store) = store {
+            link(&balancer, DOMAINS[index % 3], store);
+        }
+        running.push(balancer);
     }
     running
 }
 
+/// Lets a balancer take part in the watching of the store.
+fn link(balancer: &Balancer, domain: &str, store: SocketAddr) {
+    let store = ObjectStore::open(store, StoreOptions::default()).unwrap();
+    let node = NodeId::of_address(balancer.control_address());
+    let domain = domain.parse().unwrap();
+    let stop = CancellationToken::new();
+    let link = StoreLink::new(node, domain, balancer.control(), Arc::new(store), stop);
+    tokio::spawn(link.run());
+}
+
 /// Agent without an upstream: the announcement machine behind a socket.
 struct StandIn {
     id: EndpointId,
@@ -285,12 +301,10 @@
 async fn a_change_in_the_store_reaches_balancers_that_join_through_the_directory() {
     let server = StoreServer::bind(any_port(), StoreServerOptions::default()).unwrap();
     let store = ObjectStore::open(server.address(), StoreOptions::default()).unwrap();
-    let first = options("bzh-rns", &[], Some(server.address()));
-    let mut running = vec![Balancer::spawn(first).await.unwrap()];
+    let mut running = balancers(1, Some(server.address())).await;
     // The slot is taken after 5 s without a claimant; its object then names the holder.
     tokio::time::sleep(Duration::from_secs(8)).await;
-    let second = options("bzh-rns", &[], Some(server.address()));
-    running.push(Balancer::spawn(second).await.unwrap());
+    running.extend(balancers(1, Some(server.address())).await);
     let joined = until(&running, Duration::from_secs(8), |view| {
         live_balancers(view) == 2
     })
@@ -330,7 +344,7 @@
     let address = gone.control_address();
     gone.kill().await;
     let peers: Vec<SocketAddr> = running.iter().map(Balancer::control_address).collect();
-    let mut again = options("bzh-vns", &peers, None);
+    let mut again = options("bzh-vns", &peers);
     again.control_address = address;
     running.push(Balancer::spawn(again).await.unwrap());
     expect_that!(until(&running, limit, is_known).await, some(anything()));
