--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -24,11 +24,11 @@
 /// Time within which a caller must have sent its whole request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Interval at which a retry looks whether the first call has ended.
-const RETRY_POLL: Duration = Duration::from_millis(20);
+/// Interval at which a duplicate looks whether the first call has ended.
+const DUPLICATE_POLL: Duration = Duration::from_millis(20);
 
-/// Longest time that a retry without deadline waits for the first call.
-const RETRY_WAIT_MS: u64 = 5000;
+/// Longest time that a duplicate waits for the first call.
+const DUPLICATE_WAIT_MS: u64 = 5000;
 
 /// Largest answer that is kept for retries; larger ones are not repeated.
 const MAX_KEPT_BYTES: usize = 64 * 1024;
@@ -151,21 +151,21 @@
     work.run(writer, &mut listener).await
 }
 
-/// Asks the ledger; a retry waits for the call that holds the request.
+/// Asks the ledger; a duplicate waits for the call that holds the request.
 async fn begin(shared: &Shared, request: &CallRequest, listener: &mut Listener) -> Begin {
     let key = RequestKey::of(request);
     let wait_ms = match request.deadline_ms {
-        0 => RETRY_WAIT_MS,
-        named => named.min(RETRY_WAIT_MS),
+        0 => DUPLICATE_WAIT_MS,
+        named => named.min(DUPLICATE_WAIT_MS),
     };
     let end = shared.desk.now() + DurationMs(wait_ms);
     loop {
         let begin = shared.desk.begin(key);
-        if begin != Begin::InProgress || !request.retry || shared.desk.now() >= end {
+        if begin != Begin::InProgress || shared.desk.now() >= end {
             return begin;
         }
         tokio::select! {
-            () = tokio::time::sleep(RETRY_POLL) => {}
+            () = tokio::time::sleep(DUPLICATE_POLL) => {}
             _ = listener.departure() => return begin,
         }
     }
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -121,7 +121,12 @@
             _ => ResultCode::NotRunShed,
         });
     }
-    if is_connect_failure(status) {
+    // tonic keeps the deadline of a call itself and reports it as a cancellation.
+    if has_source::<tonic::TimeoutExpired>(status) {
+        return CallFailure::Ended(ResultCode::UnknownDeadline);
+    }
+    // Without a connection nothing was sent.
+    if has_source::<tonic::ConnectError>(status) {
         return CallFailure::NotStarted(ResultCode::NotRunNoUpstream);
     }
     CallFailure::Ended(match status.code() {
@@ -137,11 +142,10 @@
     })
 }
 
-/// Returns whether no connection to the upstream was made, so that nothing was sent.
-fn is_connect_failure(status: &Status) -> bool {
+fn has_source<E: Error + 'static>(status: &Status) -> bool {
     let mut source = status.source();
     while let Some(error) = source {
-        if error.is::<tonic::ConnectError>() {
+        if error.is::<E>() {
             return true;
         }
         source = error.source();
