--- a/crates/agent/src/socket.rs
+++ b/crates/agent/src/socket.rs
@@ -98,7 +98,12 @@
             return false;
         }
         // A connection identifier that names this agent resumes a session and has to stay.
-        let PacketClass::Opening { key } = classify(packet, &self.shared.codec) else {
+        let class = {
+            let codec = &self.shared.codec;
+            let codec = codec.read().unwrap_or_else(PoisonError::into_inner);
+            classify(packet, &codec)
+        };
+        let PacketClass::Opening { key } = class else {
             return false;
         };
         let now = self.shared.desk.now();
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,8 +1,13 @@
 //! Balancer process: packet path and control plane.
 
 mod balancer;
+mod codec;
 mod control;
 mod forward;
+mod operations;
+mod store_link;
 
 pub use balancer::{Balancer, BalancerError, BalancerOptions, BalancerReport, Ingress};
 pub use control::{ControlHandle, MembershipView};
+pub use operations::BalancerOperations;
+pub use store_link::StoreLink;
