--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -39,6 +39,8 @@
         wait_ms: DurationMs,
         reply: oneshot::Sender<ConfirmReport>,
     },
+    /// Try more addresses of balancers.
+    AddPeers(Vec<SocketAddr>),
     /// Return the view of the members.
     View(oneshot::Sender<MembershipView>),
     /// Return the objects that are not deleted.
@@ -104,6 +106,11 @@
         report.await.ok()
     }
 
+    /// Tries more control addresses at which balancers may be up.
+    pub async fn add_peers(&self, peers: Vec<SocketAddr>) {
+        self.send(Command::AddPeers(peers)).await;
+    }
+
     /// Returns the members that the balancer knows; `None` when it has stopped.
     pub async fn view(&self) -> Option<MembershipView> {
         let (reply, view) = oneshot::channel();
@@ -236,6 +243,7 @@
                 };
                 self.handle(event).await;
             }
+            Command::AddPeers(peers) => self.handle(GossipEvent::SeedPeers(peers)).await,
             Command::View(reply) => {
                 let view = MembershipView {
                     balancers: self.machine.balancers().cloned().collect(),
