Hold removals when no other process is heard

Cause: a balancer whose own link was gone removed its own agents after 4 s. The floor now also applies while nobody was heard for 2 s. Seven tests are added: cut off balancer, lost failure domain, split of an hour, pauses, paused agent, lower incarnation, malformed messages.

--- a/crates/membership/src/floor.rs
+++ b/crates/membership/src/floor.rs
@@ -67,7 +67,9 @@
         let in_domain = self.silence(|domain| domain == failure_domain);
         let overall = self.silence(|_| true);
         let mut holds = false;
-        if overall.reaches_floor() {
+        // Agents fall silent at once when the own link is gone, balancers one by one as they are
+        // probed: the counts alone would reach the floor too late.
+        if overall.reaches_floor() || self.unheard() >= CUT_OFF_MS {
             holds |= self.hold(None, overall, out);
         }
         if in_domain.reaches_floor() {
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -3,8 +3,11 @@
 mod support;
 
 use googletest::prelude::*;
-use hawthorntide_membership::{AnnounceEvent, BalancerMember, Endpoint, GossipMachine, Health};
-use hawthorntide_types::{EndpointId, Phase};
+use hawthorntide_membership::{
+    Alarm, AnnounceEvent, BalancerMember, Endpoint, GossipEvent, GossipMachine, Health, Sender,
+};
+use hawthorntide_types::{EndpointId, Incarnation, NodeId, Phase, TimeMs};
+use hawthorntide_wire::control::{self, control_message::Body};
 use support::Network;
 
 const DOMAINS: [&str; 3] = ["d1", "d2", "d3"];
@@ -132,3 +135,176 @@
     expect_that!(last.pending, is_empty());
     expect_that!(last.confirmed.len(), eq(6));
 }
+
+fn live_endpoints(view: &GossipMachine) -> usize {
+    let endpoints = view.endpoints();
+    endpoints.filter(|held| held.takes_new_flows()).count()
+}
+
+// Guards against a balancer that removes everybody because its own link is gone.
+#[gtest]
+fn a_balancer_that_is_cut_off_removes_nobody() {
+    let mut network = deployment(9, 9);
+    network.processes[0].group = 1;
+    network.run_for(120_000);
+    let view = network.gossip(0);
+    expect_that!(view.is_floor_active(), eq(true));
+    expect_that!(live_endpoints(view), eq(9));
+    expect_that!(
+        view.balancers().filter(|held| held.is_live()).count(),
+        eq(9)
+    );
+    let is_alarm = |(_, alarm): &(u64, Alarm)| matches!(alarm, Alarm::FloorReached { .. });
+    expect_that!(network.processes[0].alarms.iter().any(is_alarm), eq(true));
+    network.processes[0].group = 0;
+    expect_that!(
+        network.run_until(30_000, Network::is_converged),
+        some(anything())
+    );
+    network.run_for(15_000);
+    expect_that!(network.gossip(0).is_floor_active(), eq(false));
+}
+
+// Guards against a lost failure domain that stays in use: the floor once took 24 s to give way,
+// because the lost one of two failure domains was half of the region.
+#[gtest]
+fn a_lost_failure_domain_is_out_after_the_hold() {
+    let mut network = deployment(9, 18);
+    let dead: Vec<usize> = (0..network.processes.len())
+        .filter(|index| network.processes[*index].failure_domain == "d3")
+        .collect();
+    for index in dead {
+        network.kill(index);
+    }
+    network.run_for(8_000);
+    expect_that!(
+        everywhere(&network, |view| live_endpoints(view) == 18),
+        eq(true)
+    );
+    let taken = network.run_until(30_000, |network| {
+        everywhere(network, |view| live_endpoints(view) == 12)
+    });
+    expect_that!(taken, some(le(8_000)));
+}
+
+// Guards against live upstreams that stay removed when regions find each other again.
+#[gtest]
+fn views_are_equal_again_after_a_split_of_an_hour() {
+    let mut network = deployment(8, 10);
+    for (index, process) in network.processes.iter_mut().enumerate() {
+        process.group = u8::from(index % 2 == 1);
+    }
+    network.run_for(3_600_000);
+    expect_that!(
+        everywhere(&network, |view| live_endpoints(view) == 5),
+        eq(true)
+    );
+    for process in &mut network.processes {
+        process.group = 0;
+    }
+    let taken = network.run_until(60_000, |network| {
+        network.is_converged() && everywhere(network, |view| live_endpoints(view) == 10)
+    });
+    expect_that!(taken, some(anything()));
+}
+
+// Guards against removals of members that only pause for 2 s while 1 % of the datagrams is lost.
+#[gtest]
+fn pauses_of_two_seconds_remove_nobody() {
+    let mut network = deployment(6, 12);
+    network.faults.loss_per_mille = 10;
+    for round in 0..400 {
+        network.pause(round % 18, 2_000);
+        network.run_for(1_500);
+    }
+    let balancers = network.balancers();
+    let removals = balancers
+        .iter()
+        .map(|index| network.gossip(*index).counters().removals);
+    expect_that!(removals.sum::<u64>(), eq(0));
+}
+
+// Guards against an agent that takes new work after a pause in which it may have been removed.
+#[gtest]
+fn a_paused_agent_announces_itself_before_it_takes_new_work() {
+    let mut network = deployment(3, 2);
+    let agent = network.agents()[0];
+    let id = endpoint_of(&network, agent);
+    network.pause(agent, 8_000);
+    network.run_for(7_900);
+    let is_out = |view: &GossipMachine| !view.endpoint(id).is_some_and(Endpoint::takes_new_flows);
+    expect_that!(everywhere(&network, is_out), eq(true));
+    // The first event after the pause withdraws the permission, before any answer can come.
+    let late = TimeMs(network.now + 9_000);
+    let mut machine = network.announce(agent).clone();
+    machine.handle(late, AnnounceEvent::Tick, &mut Vec::new());
+    expect_that!(machine.allows_new_work(), eq(false));
+    let is_back = |network: &Network| {
+        let allows = network.announce(agent).allows_new_work();
+        allows && everywhere(network, |view| !is_out(view))
+    };
+    expect_that!(network.run_until(5_000, is_back), some(anything()));
+}
+
+// Guards against a process that is never heard again after its clock went back.
+#[gtest]
+fn a_restart_with_a_lower_incarnation_is_heard() {
+    let mut network = deployment(4, 1);
+    network.kill(3);
+    network.start_with(3, &[0, 1], Incarnation(5));
+    let agent = network.agents()[0];
+    network.kill(agent);
+    network.start_with(agent, &[0, 1], Incarnation(5));
+    let id = endpoint_of(&network, agent);
+    network.run_for(20_000);
+    expect_that!(network.is_converged(), eq(true));
+    let knows = |view: &GossipMachine| view.endpoint(id).is_some_and(Endpoint::takes_new_flows);
+    expect_that!(everywhere(&network, knows), eq(true));
+    expect_that!(network.announce(agent).allows_new_work(), eq(true));
+}
+
+// Guards against memory or processor time that one hostile member can take.
+#[gtest]
+fn malformed_messages_change_nothing() {
+    let mut network = deployment(3, 1);
+    let before: Vec<_> = network.gossip(0).endpoints().cloned().collect();
+    let from = Sender {
+        node: NodeId(9),
+        incarnation: Incarnation(1),
+        address: support::address_of(1),
+    };
+    let bodies = [
+        Body::Gossip(control::Gossip {
+            endpoints: vec![control::EndpointRecord::default(); 200],
+            judgements: Some(control::Judgements {
+                ids: vec![1, 2, 3],
+                incarnation_deltas: vec![i64::MAX, i64::MAX],
+                states: vec![u64::MAX],
+            }),
+            ..control::Gossip::default()
+        }),
+        Body::Digest(control::Digest::default()),
+        Body::BucketSummary(control::BucketSummary {
+            bucket: u32::MAX,
+            keys: vec![3, 2, 1],
+            checks: vec![0],
+            ..control::BucketSummary::default()
+        }),
+        Body::Chunk(control::Chunk {
+            size_bytes: u32::MAX,
+            ..control::Chunk::default()
+        }),
+        Body::Heartbeat(control::Heartbeat {
+            endpoint: Some(control::EndpointRecord::default()),
+            ..control::Heartbeat::default()
+        }),
+        Body::Join(control::Join::default()),
+    ];
+    for body in bodies {
+        let message = control::ControlMessage { body: Some(body) };
+        network.gossip_event(0, GossipEvent::Message { from, message });
+    }
+    let after: Vec<_> = network.gossip(0).endpoints().cloned().collect();
+    expect_that!(before == after, eq(true));
+    expect_that!(network.gossip(0).counters().malformed, ge(5));
+}
