Keep a starting balancer from gossiping what it was told

Cause: when many balancers start together they answer each other's requests with entries that everybody gets anyway, and each of them gossiped those a dozen times. Entries of anti-entropy are marked, and a process does not pass them on in its first 30 s.

--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -46,6 +46,8 @@
 const LEAVE_FANOUT: usize = 8;
 /// Interval at which old tombstones are dropped.
 const EXPIRE_MS: DurationMs = DurationMs(60_000);
+/// Time after the start in which entries of anti-entropy are not passed on.
+const START_MS: DurationMs = DurationMs(30_000);
 /// Known balancers at most; twenty times the design size.
 const MAX_BALANCERS: usize = 16_384;
 /// Known endpoints at most; eleven times the design size.
@@ -226,6 +228,7 @@
     seed_retry_at: TimeMs,
     expire_at: TimeMs,
     is_started: bool,
+    started_at: TimeMs,
 }
 
 impl GossipMachine {
@@ -270,6 +273,7 @@
             seed_retry_at: start,
             expire_at: start,
             is_started: false,
+            started_at: start,
         }
     }
 
@@ -335,6 +339,7 @@
 
     fn start(&mut self, out: &mut Vec<GossipAction>) {
         self.is_started = true;
+        self.started_at = self.now;
         let spread =
             |rng: &mut ChaCha8Rng, limit: DurationMs| DurationMs(rng.random_range(0..limit.get()));
         self.gossip_at = self.now + spread(&mut self.rng, GOSSIP_MS);
@@ -570,7 +575,8 @@
         gossip: control::Gossip,
         out: &mut Vec<GossipAction>,
     ) {
-        let queued = gossip.is_catch_up.then(|| self.updates.clone());
+        let is_start = self.now.since(self.started_at) < START_MS;
+        let queued = (gossip.is_catch_up && is_start).then(|| self.updates.clone());
         let own_stamp = self.own.stamp;
         for record in &gossip.balancers {
             let age = DurationMs(u64::from(record.tombstone_age_s) * 1000);
@@ -804,7 +810,7 @@
         }
     }
 
-    /// Sends whole entries that only the receiver is missing, such as after its start.
+    /// Sends whole entries that the receiver is missing.
     pub(crate) fn send_catch_up(
         &self,
         to: SocketAddr,
@@ -816,18 +822,6 @@
             send(out, to, Body::Gossip(gossip));
         }
     }
-
-    /// Sends whole entries to one process.
-    pub(crate) fn send_items(
-        &self,
-        to: SocketAddr,
-        items: impl IntoIterator<Item = Item>,
-        out: &mut Vec<GossipAction>,
-    ) {
-        for gossip in pack_all(items, &self.sources(), ANSWER_INLINE_BYTES) {
-            send(out, to, Body::Gossip(gossip));
-        }
-    }
 }
 
 /// Returns the record that a judgement concerns, when that is the state that is held.
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -195,7 +195,7 @@
             .iter()
             .filter(|held| range.contains(&held.key) && their_check(held.key) != Some(held.check))
             .map(|held| held.item);
-        self.send_items(from.address, push, out);
+        self.send_catch_up(from.address, push, out);
         let held_check = |key: u64| {
             let index = own.binary_search_by_key(&key, |held| held.key).ok()?;
             own.get(index).map(|held| held.check)
@@ -224,13 +224,13 @@
     ) {
         let keys = request.keys.iter().take(MAX_KEYS).copied();
         if request.is_configuration {
-            self.send_items(from.address, keys.map(Item::Object), out);
+            self.send_catch_up(from.address, keys.map(Item::Object), out);
             return;
         }
         let items: Vec<Item> = keys
             .flat_map(|key| [Item::Balancer(key), Item::Endpoint(key)])
             .collect();
-        self.send_items(from.address, items, out);
+        self.send_catch_up(from.address, items, out);
     }
 
     fn member_summaries(&self, bucket: usize) -> Vec<Summary> {
