Rank balancers for an agent only when a table changed

Cause: a balancer ranked all balancers for each heartbeat, which made its processor time grow with the size of the deployment. The hash of what an agent has to know is kept while both tables stay the same.

--- a/crates/membership/examples/capacity.rs
+++ b/crates/membership/examples/capacity.rs
@@ -1,7 +1,7 @@
 //! Measures the state machines at a given size in one process, over an in-memory network:
 //! `cargo run --release -p hawthorntide-membership --example capacity -- BALANCERS ENDPOINTS PART...`
 //!
-//! Parts: `steady`, `changes`, `pauses`, `domain`, `split`, `encoding`. Bytes include 28 bytes of
+//! Parts: `steady`, `changes`, `balancers`, `pauses`, `domain`, `split`, `encoding`. Bytes include 28 bytes of
 //! IP and UDP header for each datagram.
 
 #[path = "../tests/support/mod.rs"]
@@ -66,6 +66,7 @@
         match part.as_str() {
             "steady" => bench.measure_steady(),
             "changes" => bench.measure_changes(),
+            "balancers" => bench.measure_balancers(),
             "pauses" => bench.measure_pauses(),
             "domain" => bench.measure_domain(),
             "split" => bench.measure_split(),
@@ -274,6 +275,31 @@
         ));
     }
 
+    /// Times until a dead balancer is out and a restarted one has the whole view.
+    fn measure_balancers(&mut self) {
+        let mut worst = [0, 0];
+        for _ in 0..5 {
+            let index = self.rng.random_range(5..self.balancers);
+            let id = self.network.gossip(index).own().id;
+            self.network.kill(index);
+            let taken = self.network.run_until(60_000, |network| {
+                everywhere(network, |view| {
+                    let mut held = view.balancers().filter(|held| held.id == id);
+                    held.all(|held| !held.is_live())
+                })
+            });
+            worst[0] = worst[0].max(taken.unwrap_or(60_000));
+            self.network.start(index, &[0, 1, 2]);
+            let taken = self.network.run_until(60_000, Network::is_converged);
+            worst[1] = worst[1].max(taken.unwrap_or(60_000));
+            self.network.run_for(60_000);
+        }
+        let [dead, back] = worst;
+        self.report(format!(
+            "balancers: worst of 5: dead one out {dead} ms, restarted one and all others equal {back} ms"
+        ));
+    }
+
     /// Removals of live members at 1 % loss while processes pause for 2 s.
     fn measure_pauses(&mut self) {
         let duration_ms = 3_600_000 / (1 + self.balancers as u64 * self.endpoints as u64 / 20_000);
--- a/crates/membership/src/homes.rs
+++ b/crates/membership/src/homes.rs
@@ -44,6 +44,16 @@
     other_heard_at: TimeMs,
     /// Whether the agent itself named this balancer.
     is_named: bool,
+    /// What the agent has to know, while the tables stay the same.
+    told: Option<Told>,
+}
+
+/// Hash over an agent's peers as of some state of the tables.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Told {
+    balancers: u64,
+    endpoints: u64,
+    hash: u32,
 }
 
 /// Endpoint without a live home balancer.
@@ -184,13 +194,37 @@
         {
             self.homes.homes[index].heard_at = self.now;
         }
-        self.tell_peers(held, heartbeat.peers_hash, &mut ack);
+        self.tell_new_peers(held, heartbeat.peers_hash, &mut ack);
         self.tell_objects(from, held, heartbeat.configuration_hash, out);
         ack
     }
 
-    /// Adds siblings and balancers, unless the agent has exactly these.
-    fn tell_peers(&self, held: &Endpoint, known_hash: u32, ack: &mut control::HeartbeatAck) {
+    /// Adds siblings and balancers, unless the agent has them and no table changed since. Ranking
+    /// all balancers for each heartbeat would be most of a balancer's processor time.
+    fn tell_new_peers(
+        &mut self,
+        held: &Endpoint,
+        known_hash: u32,
+        ack: &mut control::HeartbeatAck,
+    ) {
+        let (balancers, endpoints) = (self.balancers.generation, self.endpoints.generation);
+        let position = self.homes.position(held.id.get());
+        let told = Told {
+            balancers,
+            endpoints,
+            hash: known_hash,
+        };
+        if position.is_ok_and(|index| self.homes.homes[index].told == Some(told)) {
+            return;
+        }
+        let hash = self.tell_peers(held, known_hash, ack);
+        if let Ok(index) = position {
+            self.homes.homes[index].told = Some(Told { hash, ..told });
+        }
+    }
+
+    /// Adds siblings and balancers, unless the agent has exactly these; returns their hash.
+    fn tell_peers(&self, held: &Endpoint, known_hash: u32, ack: &mut control::HeartbeatAck) -> u32 {
         let candidates = self
             .balancers
             .records()
@@ -230,6 +264,7 @@
             ack.balancers.clear();
             ack.siblings.clear();
         }
+        hash as u32
     }
 
     /// Sends the objects of the agent's service, unless it has these versions.
@@ -297,6 +332,7 @@
             asked_at: self.now,
             other_heard_at: TimeMs(0),
             is_named,
+            told: None,
         }
     }
 
