--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -39,7 +39,9 @@
         }
         let parsed = parse_to_ast(text, &CollectOptions::default(), &PARSE_OPTIONS);
         let parsed = parsed.map_err(|error| {
-            SettingsProblem::unreadable(file, error.line_display(), error.kind())
+            // Text that ends too early is reported at its last line, not at the one after it.
+            let line = error.line_display().min(text.lines().count().max(1));
+            SettingsProblem::unreadable(file, line, error.kind())
         })?;
         let Some(Value::Object(root)) = parsed.value else {
             return Err(SettingsProblem::unreadable(
