Hold the slot of a cancelled call until the cancellation arrived

Cause: the slot of a cancelled call was given away before the upstream had noticed the cancellation, so that it could shed the next request. Change: the slot stays taken for 10 ms after the call was dropped.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -30,6 +30,10 @@
 /// Longest time that a duplicate waits for the first call.
 const DUPLICATE_WAIT_MS: u64 = 5000;
 
+/// Time that a cancellation takes to reach the upstream. Its slot given away earlier would let the
+/// upstream shed the next request.
+const CANCEL_SETTLE: Duration = Duration::from_millis(10);
+
 /// Largest answer that is kept for retries; larger ones are not repeated.
 const MAX_KEPT_BYTES: usize = 64 * 1024;
 
@@ -224,18 +228,20 @@
         writer: &mut AnswerWriter,
         listener: &mut Listener,
     ) -> CallEnd {
-        let transfer = self.transfer(deadline, writer);
-        tokio::pin!(transfer);
-        loop {
+        let mut transfer = Box::pin(self.transfer(deadline, writer));
+        let code = loop {
             tokio::select! {
                 end = &mut transfer => return end,
                 verdict = submitted.verdicts.recv() => if let Some(Verdict::Cancel(code)) = verdict {
-                    // Dropping the call cancels it towards the upstream.
-                    return CallEnd::Ended(outcome_of(code));
+                    break code;
                 },
                 departure = listener.departure() => self.departed(departure, submitted),
             }
-        }
+        };
+        // Dropping the call cancels it towards the upstream.
+        drop(transfer);
+        tokio::time::sleep(CANCEL_SETTLE).await;
+        CallEnd::Ended(outcome_of(code))
     }
 
     /// Hands the request over and passes the answer on.
