Retry idempotent work under a budget, resend reservations, link balancers to the store

The caller library retries idempotent work within its deadline and the retry budget of the admission crate, counted by socket. A refusal of a later attempt is not reported as not run when an earlier attempt may have run. Balancers watch the emulated platform store.

--- a/crates/client/src/flow.rs
+++ b/crates/client/src/flow.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthorntide_types::{DurationMs, ResultCode};
+use hawthorntide_types::{DurationMs, Ran, ResultCode, Retry};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
@@ -76,6 +76,39 @@
         }
     }
 
+    /// Sends idempotent work and sends it again, within its deadline and the budget of the socket, when
+    /// it failed in a way that another attempt may repair.
+    pub async fn call_idempotent(&self, call: &Call) -> Answer {
+        let end = Instant::now() + Duration::from(call.deadline_ms);
+        self.socket.record_request();
+        let mut retries = 0;
+        let mut may_have_run = None;
+        loop {
+            let began = Instant::now();
+            let caller = self.caller();
+            let Some(left) = with_time_left(call, end) else {
+                return Answer::of_code(may_have_run.unwrap_or(ResultCode::NotRunDeadline));
+            };
+            let mut answer = self.call(&left).await;
+            if answer.code.ran() != Ran::No {
+                may_have_run = Some(answer.code);
+            } else if let Some(code) = may_have_run {
+                // The refusal of this attempt says nothing about the attempts before it.
+                answer.code = code;
+            }
+            let can_help = answer.code.retry() != Retry::No;
+            let at = can_help.then(|| self.socket.retry_at(retries, end, began.elapsed()));
+            let Some(at) = at.flatten() else {
+                return answer;
+            };
+            retries += 1;
+            tokio::time::sleep_until(at).await;
+            if has_lost_upstream(answer.code) && self.replace(&caller, None).await.is_err() {
+                return answer;
+            }
+        }
+    }
+
     /// Moves new work away from a draining agent and sends a request that it refused once more. The
     /// agent has fenced the request, so that this is safe for any kind of work.
     async fn call_elsewhere(
@@ -163,6 +196,14 @@
     })
 }
 
+/// Returns whether the work should go to another upstream.
+fn has_lost_upstream(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::NotRunNoUpstream | ResultCode::UnknownUpstreamLost | ResultCode::UpstreamFailed
+    )
+}
+
 fn is_lost(caller: &Caller, code: ResultCode) -> bool {
     code == ResultCode::UnknownAgentGone && caller.close_reason().is_some()
 }
--- a/crates/client/src/socket.rs
+++ b/crates/client/src/socket.rs
@@ -1,9 +1,11 @@
 //! Local UDP socket from which callers open connections.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hawthorntide_admission::{DEFAULT_RETRY_BUDGET, RetryAttempt, RetryBudget};
+use hawthorntide_types::{DurationMs, TimeMs};
 use quinn::{ClientConfig, Endpoint, EndpointConfig, TokioRuntime, TransportConfig, VarInt};
 use quinn_proto::ConnectionId;
 use rustls::pki_types::CertificateDer;
@@ -53,6 +55,9 @@
     local_address: SocketAddr,
     /// Time of the last move; connections that fall silent together move once.
     moved_at: Arc<Mutex<Option<Instant>>>,
+    /// Retries of idempotent work on all connections of the socket.
+    retries: Arc<Mutex<RetryBudget>>,
+    bound_at: Instant,
 }
 
 impl CallerSocket {
@@ -70,6 +75,11 @@
             config,
             local_address: options.local_address,
             moved_at: Arc::default(),
+            retries: Arc::new(Mutex::new(RetryBudget::new(
+                DEFAULT_RETRY_BUDGET,
+                rand::random(),
+            ))),
+            bound_at: Instant::now(),
         })
     }
 
@@ -114,6 +124,38 @@
         self.endpoint.local_addr().map_err(CallError::Bind)
     }
 
+    /// Adds a request to the recent rate that retries are a part of.
+    pub(crate) fn record_request(&self) {
+        let now = self.time_of(Instant::now());
+        self.retries().record_request(now);
+    }
+
+    /// Returns when idempotent work may be sent again, if at all.
+    pub(crate) fn retry_at(
+        &self,
+        retries: u32,
+        deadline: Instant,
+        expected: Duration,
+    ) -> Option<Instant> {
+        let attempt = RetryAttempt {
+            idempotent: true,
+            retries,
+            deadline: self.time_of(deadline),
+            expected_ms: DurationMs(expected.as_millis() as u64),
+        };
+        let now = self.time_of(Instant::now());
+        let at = self.retries().retry(now, attempt)?;
+        Some(self.bound_at + Duration::from_millis(at.get()))
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn time_of(&self, at: Instant) -> TimeMs {
+        TimeMs(at.saturating_duration_since(self.bound_at).as_millis() as u64)
+    }
+
     /// Closes all connections and waits until the peers are told.
     pub async fn close(&self) {
         self.endpoint.close(VarInt::from_u32(0), b"");
--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
-use hawthorntide_client::{Call, CallError, Caller, CallerOptions, CallerSocket, Flow};
+use hawthorntide_client::{Answer, Call, CallError, Caller, CallerOptions, CallerSocket, Flow};
 use hawthorntide_emulator::WorkOrder;
 use hawthorntide_routing::ConnectionIdCodec;
 use hawthorntide_timeline::EventKind;
-use hawthorntide_types::{EndpointId, ResultCode, ServiceId, ServiceName, WorkKind};
+use hawthorntide_types::{EndpointId, Ran, ResultCode, ServiceId, ServiceName, WorkKind};
 use prost::Message;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -29,6 +29,8 @@
 const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 /// Requests of a flood that wait at the same time; a caller program has limits, too.
 const FLOOD_IN_PROGRESS: usize = 20_000;
+/// Time after which an impatient caller sends its request again.
+const RESEND_PAUSE: Duration = Duration::from_millis(10);
 /// Bytes of an answer that name its work and its service.
 const SERVICE_BYTES: std::ops::Range<usize> = 8..16;
 
@@ -331,7 +333,13 @@
         let asked = self.observer.now();
         let began = Instant::now();
         self.observer.in_progress.fetch_add(1, Ordering::Relaxed);
-        let answer = flow.call(&call).await;
+        let answer = if self.is_resent(mix) {
+            self.call_twice(&flow.caller(), &order, &call).await
+        } else if mix.kind == WorkKind::Sheet {
+            flow.call_idempotent(&call).await
+        } else {
+            flow.call(&call).await
+        };
         self.observer.in_progress.fetch_sub(1, Ordering::Relaxed);
         let is_ok = answer.code == ResultCode::Ok;
         let outcome = WorkOutcome {
@@ -349,6 +357,29 @@
         self.observer.record_outcome(self.id, outcome);
     }
 
+    fn is_resent(&self, mix: &CallerMix) -> bool {
+        let resent = mix.resent_per_mille.get();
+        resent > 0 && self.random(|random| random.random_range(0..1000) < resent)
+    }
+
+    /// Sends a request and, while it is in progress, once more under its sequence, as a caller does
+    /// that has waited too long. Returns the answer to the first one.
+    async fn call_twice(&self, caller: &Caller, order: &WorkOrder, call: &Call) -> Answer {
+        let sequence = caller.next_sequence();
+        let again = async {
+            tokio::time::sleep(RESEND_PAUSE).await;
+            caller.call_as(sequence, call, true).await
+        };
+        let (first, second) = tokio::join!(caller.call_as(sequence, call, false), again);
+        if second.code == ResultCode::Ok && second.data != order.answer() {
+            self.observer.seen().wrong_messages += 1;
+        }
+        if second.code.ran() == Ran::No && first.code.ran() != Ran::No {
+            self.observer.seen().false_refusals.push(order.work_id);
+        }
+        first
+    }
+
     /// Closes random flows; each is opened again at once.
     async fn replace_flows(self: Arc<Self>) {
         let pause = Duration::from_secs(1) / self.entry.new_flows_per_second.get();
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -113,6 +113,9 @@
     /// Connections that hold an open stream; for streams.
     #[serde(default)]
     pub connections_per_mille: PerMille,
+    /// Requests that callers send twice under the same sequence; for reservations.
+    #[serde(default)]
+    pub resent_per_mille: PerMille,
     /// Size of an answer; for reservations and sheets.
     #[serde(default)]
     pub answer_bytes: ByteCount,
@@ -393,6 +396,11 @@
             format!("{path}.connections_per_mille"),
             "only streams stay open; use load_per_mille",
         );
+        self.require(
+            u32::from(mix.resent_per_mille.get()) <= WHOLE_PER_MILLE,
+            format!("{path}.resent_per_mille"),
+            "0 to 1000 is accepted",
+        );
         self.require(
             u32::from(mix.connections_per_mille.get()) <= WHOLE_PER_MILLE,
             format!("{path}.connections_per_mille"),
--- a/crates/trial/src/measure.rs
+++ b/crates/trial/src/measure.rs
@@ -157,8 +157,10 @@
     report.answered = count(&|outcome| outcome.is_good());
     report.reservations = count(&is_reservation);
     report.run_twice = count(&|outcome| is_reservation(outcome) && runs_of(outcome) > 1);
-    report.not_run_but_run =
-        count(&|outcome| outcome.code.ran() == Ran::No && runs_of(outcome) > 0);
+    let was_run = |work: &&u64| runs.contains_key(work);
+    let false_refusals = seen.false_refusals.iter().filter(was_run).count() as u64;
+    let not_run_but_run = count(&|outcome| outcome.code.ran() == Ran::No && runs_of(outcome) > 0);
+    report.not_run_but_run = not_run_but_run.map(|count| count + false_refusals);
     report.unknown = count(&|outcome| outcome.code.ran() == Ran::Unknown);
     let incomplete = outcomes
         .iter()
--- a/crates/trial/src/observer.rs
+++ b/crates/trial/src/observer.rs
@@ -50,6 +50,8 @@
     pub(crate) losses: Vec<FlowLoss>,
     /// Times from the silence of a caller address to its move to another port.
     pub(crate) silences_found: Vec<Duration>,
+    /// Work that was reported as not run when it was sent a second time.
+    pub(crate) false_refusals: Vec<u64>,
     pub(crate) wrong_messages: u64,
     pub(crate) foreign_messages: u64,
 }
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -9,6 +9,7 @@
 use hawthorntide_types::{DurationMs, EndpointId, ServiceName};
 use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
+use tokio_util::sync::DropGuard;
 
 /// Runtime with one thread, as a process on a small VM has it.
 #[derive(Debug)]
@@ -51,6 +52,8 @@
 pub struct BalancerProcess {
     pub(crate) runtime: ProcessRuntime,
     pub(crate) balancer: Option<Balancer>,
+    /// Ends the link to the platform store.
+    pub(crate) store_link: Option<DropGuard>,
     pub(crate) data_address: SocketAddr,
     pub(crate) control_address: SocketAddr,
 }
@@ -74,6 +77,7 @@
     /// Begins a graceful shutdown; the handle yields the report of the balancer.
     pub fn begin_stop(&mut self, limit: DurationMs) -> Option<JoinHandle<BalancerReport>> {
         let balancer = self.balancer.take()?;
+        self.store_link = None;
         self.runtime
             .spawn(async move { balancer.drain(limit).await })
     }
--- a/crates/trial/src/runner.rs
+++ b/crates/trial/src/runner.rs
@@ -8,7 +8,6 @@
 use displaydoc::Display;
 use hawthorntide_client::{CallError, CallerSocket};
 use hawthorntide_emulator::StoreFaults;
-use hawthorntide_platform::{ObjectStore, StoreError, StoreOptions};
 use hawthorntide_timeline::{
     Event, EventKind, HybridClock, Part, ProcessName, TimedEvent, Timeline, merge,
 };
@@ -81,8 +80,6 @@
     World(WorldError),
     /// cannot start the callers: {0}
     Callers(CallError),
-    /// cannot reach the platform store: {0}
-    Store(StoreError),
     /// only {open} of {wanted} flows were open after {seconds} s
     Opening {
         /// Flows that were open.
@@ -127,8 +124,7 @@
         let bound = Callers::bind(&world, index, Arc::clone(&observer), options.seed);
         callers.push(bound.map_err(TrialError::Callers)?);
     }
-    let store = ObjectStore::open(world.store.address(), StoreOptions::default())
-        .map_err(TrialError::Store)?;
+    let store = world.open_store()?;
     let trial = Trial {
         world,
         callers,
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -1,22 +1,28 @@
 //! Running processes of a deployment: fabric, platform store, balancers, agents and upstreams.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use displaydoc::Display;
 use hawthorntide_agent::{Agent, AgentError, AgentOptions};
-use hawthorntide_balancer::{Balancer, BalancerError, BalancerOptions, Ingress};
+use hawthorntide_balancer::{Balancer, BalancerError, BalancerOptions, Ingress, StoreLink};
 use hawthorntide_emulator::{
     BalancerLink, Fabric, FabricOptions, ServiceSocket, StoreServer, StoreServerOptions, Upstream,
     UpstreamOptions,
 };
+use hawthorntide_platform::{
+    ObjectKey, ObjectKind, ObjectStore, StoreError, StoreOptions, WriteOutcome,
+};
 use hawthorntide_routing::{ConnectionIdCodec, KEY_BYTES, KeyRing, RoutingKey};
 use hawthorntide_types::{
-    EndpointId, FailureDomain, Incarnation, Region, Service, ServiceId, ServiceName, Transport,
+    EndpointId, FailureDomain, Incarnation, NodeId, Region, ResultCode, Service, ServiceId,
+    ServiceName, Transport, Version,
 };
 use hawthorntide_wire::{ClusterKey, ControlCodec};
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 use crate::certificate::TestAuthority;
 use crate::deployment::{Deployment, ServiceEntry, UpstreamGroup};
@@ -33,10 +39,12 @@
     Balancer(BalancerError),
     /// cannot make a certificate: {0}
     Certificate(rcgen::Error),
+    /// cannot reach the platform store: {0}
+    Store(StoreError),
+    /// cannot fill the platform store: {0}
+    Write(ResultCode),
     /// the process ended while it started
     Ended,
-    /// the service has no upstreams in the deployment file
-    NoUpstreams,
 }
 
 impl std::error::Error for WorldError {}
@@ -93,6 +101,7 @@
             secrets,
             seed,
         };
+        world.fill_store().await?;
         for group in &deployment.balancers {
             for _ in 0..group.count {
                 world.join_balancer(group.failure_domain.clone()).await?;
@@ -108,12 +117,31 @@
         Ok(world)
     }
 
+    /// Writes the profiles and services that operators defined before the trial.
+    async fn fill_store(&self) -> Result<(), WorldError> {
+        let store = self.open_store()?;
+        for profile in &self.deployment.profiles {
+            let value = serde_json::to_value(profile).expect("a profile is JSON");
+            write_new(&store, ObjectKind::Profile, profile.name.as_str(), &value).await?;
+        }
+        for service in &self.services {
+            let value = serde_json::to_value(service).expect("a service is JSON");
+            write_new(&store, ObjectKind::Service, service.name.as_str(), &value).await?;
+        }
+        Ok(())
+    }
+
+    /// Opens a client of the platform store.
+    pub(crate) fn open_store(&self) -> Result<ObjectStore, WorldError> {
+        ObjectStore::open(self.store.address(), StoreOptions::default()).map_err(WorldError::Store)
+    }
+
     /// Starts one more balancer and lets the fabric use it.
     pub async fn join_balancer(&mut self, domain: FailureDomain) -> Result<(), WorldError> {
         let runtime = ProcessRuntime::new("balancer").map_err(WorldError::Io)?;
         let region = self.region(&domain);
         let options = BalancerOptions {
-            failure_domain: domain,
+            failure_domain: domain.clone(),
             region,
             data_address: loopback(),
             control_address: loopback(),
@@ -130,8 +158,18 @@
         let balancer = started(runtime.spawn(Balancer::spawn(options)))
             .await?
             .map_err(WorldError::Balancer)?;
+        let stop = CancellationToken::new();
+        let link = StoreLink::new(
+            NodeId::of_address(balancer.control_address()),
+            domain,
+            balancer.control(),
+            Arc::new(self.open_store()?),
+            stop.clone(),
+        );
+        runtime.spawn(link.run());
         let process = BalancerProcess {
             runtime,
+            store_link: Some(stop.drop_guard()),
             data_address: balancer.data_address(),
             control_address: balancer.control_address(),
             balancer: Some(balancer),
@@ -225,6 +263,19 @@
     }
 }
 
+async fn write_new(
+    store: &ObjectStore,
+    kind: ObjectKind,
+    name: &str,
+    value: &serde_json::Value,
+) -> Result<(), WorldError> {
+    let key = ObjectKey::new(kind, name).expect("names of services and profiles name objects");
+    match store.put_if(&key, value, Version::NONE).await {
+        WriteOutcome::Accepted(_) => Ok(()),
+        outcome => Err(WorldError::Write(outcome.code())),
+    }
+}
+
 async fn started<T>(task: Option<JoinHandle<T>>) -> Result<T, WorldError> {
     let Some(task) = task else {
         return Err(WorldError::Ended);
