--- a/crates/client/src/flow.rs
+++ b/crates/client/src/flow.rs
@@ -103,7 +103,7 @@
             };
             retries += 1;
             tokio::time::sleep_until(at).await;
-            if has_lost_upstream(answer.code) && self.replace(&caller, None).await.is_err() {
+            if has_lost_upstream(answer.code) && self.move_away(&caller).await.is_err() {
                 return answer;
             }
         }
@@ -118,7 +118,7 @@
         end: Instant,
         refusal: Answer,
     ) -> Answer {
-        let Ok(caller) = self.replace(draining, None).await else {
+        let Ok(caller) = self.move_away(draining).await else {
             return refusal;
         };
         let Some(call) = with_time_left(call, end) else {
@@ -137,6 +137,12 @@
         self.replace(lost, Some(lost.resume())).await
     }
 
+    /// Opens a connection to any agent in place of `old`, unless that has happened already. Streams on
+    /// `old` stay open.
+    pub async fn move_away(&self, old: &Arc<Caller>) -> Result<Arc<Caller>, CallError> {
+        self.replace(old, None).await
+    }
+
     /// Replaces the connection `old` by one to the agent of `resume` or to any agent. Streams on `old`
     /// stay open.
     async fn replace(
--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -51,6 +51,13 @@
     random: Mutex<ChaCha8Rng>,
 }
 
+/// Why a stream is no longer read.
+enum StreamEnd {
+    /// It was never open.
+    Refused(ResultCode),
+    Lost(ResultCode),
+}
+
 #[derive(Clone, Debug)]
 struct OpenFlow {
     flow: Arc<Flow>,
@@ -214,7 +221,17 @@
         loop {
             let (caller, code) = if has_stream {
                 let caller = flow.caller();
-                let code = self.read_stream(&caller).await;
+                let code = match self.read_stream(&caller).await {
+                    StreamEnd::Lost(code) => code,
+                    StreamEnd::Refused(code) => {
+                        log::debug!("trial: A stream was refused: {code}.");
+                        tokio::time::sleep(REOPEN_PAUSE).await;
+                        if flow.move_away(&caller).await.is_err() {
+                            return;
+                        }
+                        continue;
+                    }
+                };
                 (caller, code)
             } else {
                 (flow.lost().await, ResultCode::UnknownAgentGone)
@@ -233,6 +250,7 @@
                 return;
             }
             if caller.close_reason().is_none() {
+                tokio::time::sleep(REOPEN_PAUSE).await;
                 continue;
             }
             let Ok(next) = flow.reopen(&caller).await else {
@@ -248,18 +266,21 @@
     }
 
     /// Reads a stream until it ends, and checks each message.
-    async fn read_stream(&self, caller: &Caller) -> ResultCode {
+    async fn read_stream(&self, caller: &Caller) -> StreamEnd {
         let order = self.order(0);
         let mut stream = match caller.open_stream(order.encode_to_vec()).await {
             Ok(stream) => stream,
-            Err(code) => return code,
+            Err(code) => return StreamEnd::Lost(code),
         };
         let mut number = 0;
         loop {
             match stream.next_message().await {
                 Ok(Some(message)) => self.check_message(&order, number, &message),
-                Ok(None) => return ResultCode::AnswerCut,
-                Err(code) => return code,
+                Ok(None) => return StreamEnd::Lost(ResultCode::AnswerCut),
+                Err(code) if number == 0 && code.ran() == Ran::No => {
+                    return StreamEnd::Refused(code);
+                }
+                Err(code) => return StreamEnd::Lost(code),
             }
             number += 1;
         }
@@ -363,7 +384,7 @@
     }
 
     /// Sends a request and, while it is in progress, once more under its sequence, as a caller does
-    /// that has waited too long. Returns the answer to the first one.
+    /// that has waited too long. Returns the answer of the work.
     async fn call_twice(&self, caller: &Caller, order: &WorkOrder, call: &Call) -> Answer {
         let sequence = caller.next_sequence();
         let again = async {
@@ -377,7 +398,12 @@
         if second.code.ran() == Ran::No && first.code.ran() != Ran::No {
             self.observer.seen().false_refusals.push(order.work_id);
         }
-        first
+        // The second one may overtake the first.
+        if first.code == ResultCode::InProgress {
+            second
+        } else {
+            first
+        }
     }
 
     /// Closes random flows; each is opened again at once.
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -99,6 +99,24 @@
     /// Time after a start during which work takes longer.
     #[serde(default)]
     pub cold_start_ms: DurationMs,
+    /// Relation of its health and load reports to the truth.
+    #[serde(default)]
+    pub reports: ReportMode,
+}
+
+/// How an upstream reports its health and load.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum ReportMode {
+    /// What holds now.
+    #[default]
+    Truthful,
+    /// What held three seconds ago.
+    Lagging,
+    /// Always serving and idle.
+    AlwaysIdle,
+    /// Always failed and full.
+    AlwaysFailed,
 }
 
 /// One kind of work that callers ask for.
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -16,8 +16,8 @@
 
 pub use certificate::TestAuthority;
 pub use deployment::{
-    BalancerGroup, CallerMix, DelayUs, Deployment, DeploymentProblem, DomainEntry, ServiceEntry,
-    UpstreamGroup,
+    BalancerGroup, CallerMix, DelayUs, Deployment, DeploymentProblem, DomainEntry, ReportMode,
+    ServiceEntry, UpstreamGroup,
 };
 pub use event::{EventName, ParseEventError, TrialEvent};
 pub use plots::PlotError;
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -9,25 +9,28 @@
 use hawthorntide_agent::{Agent, AgentError, AgentOptions};
 use hawthorntide_balancer::{Balancer, BalancerError, BalancerOptions, Ingress, StoreLink};
 use hawthorntide_emulator::{
-    BalancerLink, Fabric, FabricOptions, ServiceSocket, StoreServer, StoreServerOptions, Upstream,
-    UpstreamOptions,
+    BalancerLink, Fabric, FabricOptions, Reports, ServiceSocket, StoreServer, StoreServerOptions,
+    Upstream, UpstreamOptions,
 };
 use hawthorntide_platform::{
     ObjectKey, ObjectKind, ObjectStore, StoreError, StoreOptions, WriteOutcome,
 };
 use hawthorntide_routing::{ConnectionIdCodec, KEY_BYTES, KeyRing, RoutingKey};
 use hawthorntide_types::{
-    EndpointId, FailureDomain, Incarnation, NodeId, Region, ResultCode, Service, ServiceId,
-    ServiceName, Transport, Version,
+    DurationMs, EndpointId, FailureDomain, Incarnation, NodeId, Region, ResultCode, Service,
+    ServiceId, ServiceName, Transport, Version,
 };
 use hawthorntide_wire::{ClusterKey, ControlCodec};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::certificate::TestAuthority;
-use crate::deployment::{Deployment, ServiceEntry, UpstreamGroup};
+use crate::deployment::{Deployment, ReportMode, ServiceEntry, UpstreamGroup};
 use crate::process::{BalancerProcess, ProcessRuntime, UpstreamProcess};
 
+/// Age of the reports of a lagging upstream.
+const REPORT_LAG: DurationMs = DurationMs(3000);
+
 /// Failure to start a deployment.
 #[derive(Debug, Display)]
 pub enum WorldError {
@@ -193,6 +196,7 @@
             slots: group.slots,
             service_time_ms: group.service_time_ms,
             cold_start_ms: group.cold_start_ms,
+            reports: reports(group.reports),
             seed: self.seed ^ self.upstreams.len() as u64,
             ..UpstreamOptions::default()
         })
@@ -263,6 +267,15 @@
     }
 }
 
+fn reports(mode: ReportMode) -> Reports {
+    match mode {
+        ReportMode::Truthful => Reports::Truthful,
+        ReportMode::Lagging => Reports::Lagging(REPORT_LAG),
+        ReportMode::AlwaysIdle => Reports::AlwaysIdle,
+        ReportMode::AlwaysFailed => Reports::AlwaysFailed,
+    }
+}
+
 async fn write_new(
     store: &ObjectStore,
     kind: ObjectKind,
