--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -54,8 +54,8 @@
 /// Why a stream is no longer read.
 enum StreamEnd {
     /// It was never open.
-    Refused(ResultCode),
-    Lost(ResultCode),
+    Refused(Arc<Caller>, ResultCode),
+    Lost(Arc<Caller>, ResultCode),
 }
 
 #[derive(Clone, Debug)]
@@ -220,10 +220,9 @@
     async fn use_flow(&self, flow: &Flow, has_stream: bool) {
         loop {
             let (caller, code) = if has_stream {
-                let caller = flow.caller();
-                let code = match self.read_stream(&caller).await {
-                    StreamEnd::Lost(code) => code,
-                    StreamEnd::Refused(code) => {
+                match self.read_stream(flow).await {
+                    StreamEnd::Lost(caller, code) => (caller, code),
+                    StreamEnd::Refused(caller, code) => {
                         log::debug!("trial: A stream was refused: {code}.");
                         tokio::time::sleep(REOPEN_PAUSE).await;
                         if flow.move_away(&caller).await.is_err() {
@@ -231,8 +230,7 @@
                         }
                         continue;
                     }
-                };
-                (caller, code)
+                }
             } else {
                 (flow.lost().await, ResultCode::UnknownAgentGone)
             };
@@ -266,24 +264,26 @@
     }
 
     /// Reads a stream until it ends, and checks each message.
-    async fn read_stream(&self, caller: &Caller) -> StreamEnd {
+    async fn read_stream(&self, flow: &Flow) -> StreamEnd {
         let order = self.order(0);
-        let mut stream = match caller.open_stream(order.encode_to_vec()).await {
+        let caller = flow.caller();
+        let mut stream = match flow.open_stream(order.encode_to_vec()).await {
             Ok(stream) => stream,
-            Err(code) => return StreamEnd::Lost(code),
+            Err(code) => return StreamEnd::Lost(caller, code),
         };
         let mut number = 0;
-        loop {
+        let code = loop {
             match stream.next_message().await {
                 Ok(Some(message)) => self.check_message(&order, number, &message),
-                Ok(None) => return StreamEnd::Lost(ResultCode::AnswerCut),
+                Ok(None) => break ResultCode::AnswerCut,
                 Err(code) if number == 0 && code.ran() == Ran::No => {
-                    return StreamEnd::Refused(code);
+                    return StreamEnd::Refused(Arc::clone(stream.caller()), code);
                 }
-                Err(code) => return StreamEnd::Lost(code),
+                Err(code) => break code,
             }
             number += 1;
-        }
+        };
+        StreamEnd::Lost(Arc::clone(stream.caller()), code)
     }
 
     fn check_message(&self, order: &WorkOrder, number: u64, message: &[u8]) {
