Enlarge the receive buffers of fabric, balancers and agents

In a flood the p99 wait of the service that is not flooded rose from 58 to 1155 ms. Cause: the default receive buffer of 208 KiB holds about 90 full packets and overflowed in bursts; a lost packet waits for a probe timeout.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -15,6 +15,7 @@
 };
 use hawthorntide_wire::ControlCodec;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use socket2::SockRef;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -27,6 +28,10 @@
 use crate::upstream::UpstreamClient;
 use crate::{connection, tls};
 
+/// Receive buffer of a socket; the default of the system holds about 90 full packets and overflows in
+/// the bursts of a flood. The system may grant less.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1024 * 1024;
+
 /// Interval at which a drain looks whether flows are still open.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -344,9 +349,11 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<UdpSocket, AgentError> {
-    UdpSocket::bind(address)
-        .await
-        .map_err(|source| AgentError::Bind { address, source })
+    let bind_error = |source| AgentError::Bind { address, source };
+    let socket = UdpSocket::bind(address).await.map_err(bind_error)?;
+    let sized = SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    sized.map_err(bind_error)?;
+    Ok(socket)
 }
 
 fn local_address(socket: &UdpSocket, address: SocketAddr) -> Result<SocketAddr, AgentError> {
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -10,6 +10,7 @@
 use hawthorntide_routing::{ConnectionIdCodec, KeyRing, RoutingTable};
 use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
 use hawthorntide_wire::ControlCodec;
+use socket2::SockRef;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
@@ -22,6 +23,10 @@
 /// Time without packets after which a draining balancer ends.
 const QUIET: Duration = Duration::from_secs(2);
 
+/// Receive buffer of a socket; the default of the system holds about 90 full packets and overflows in
+/// the bursts of a flood. The system may grant less.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1024 * 1024;
+
 /// Interval at which a drain looks for packets.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -264,9 +269,11 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<UdpSocket, BalancerError> {
-    UdpSocket::bind(address)
-        .await
-        .map_err(|source| BalancerError::Bind { address, source })
+    let bind_error = |source| BalancerError::Bind { address, source };
+    let socket = UdpSocket::bind(address).await.map_err(bind_error)?;
+    let sized = SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    sized.map_err(bind_error)?;
+    Ok(socket)
 }
 
 fn local_address(socket: &UdpSocket, address: SocketAddr) -> Result<SocketAddr, BalancerError> {
--- a/crates/emulator/src/fabric.rs
+++ b/crates/emulator/src/fabric.rs
@@ -19,6 +19,9 @@
 
 /// Largest datagram that is taken from a socket.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
+/// Receive buffer of a socket; the default of the system holds about 90 full packets and overflows in
+/// the bursts of a flood.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1024 * 1024;
 /// Packets under way on one path; more are dropped as in a full queue of a switch.
 const PATH_PACKETS: usize = 16_384;
 /// Whole of a share in thousandths.
@@ -160,11 +163,11 @@
 impl Fabric {
     /// Binds all service addresses and forwards until the handle is dropped.
     pub async fn bind(options: FabricOptions) -> io::Result<Self> {
-        let egress = Arc::new(UdpSocket::bind(options.address).await?);
+        let egress = Arc::new(bind(options.address).await?);
         let address = egress.local_addr()?;
         let mut sockets = Vec::new();
         for service in &options.services {
-            let socket = UdpSocket::bind(service.address).await?;
+            let socket = bind(service.address).await?;
             let bound = ServiceSocket {
                 service: service.service,
                 address: socket.local_addr()?,
@@ -325,6 +328,12 @@
     }
 }
 
+async fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = UdpSocket::bind(address).await?;
+    socket2::SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    Ok(socket)
+}
+
 /// Takes packets of callers from one service socket and spreads them over the balancers.
 async fn spray(shared: Arc<Shared>, index: usize, mut random: ChaCha8Rng) {
     let (service, socket) = &shared.sockets[index];
