--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
-use hawthorntide_client::{Call, CallError, Caller, CallerOptions, CallerSocket, Flow};
+use hawthorntide_client::{Answer, Call, CallError, Caller, CallerOptions, CallerSocket, Flow};
 use hawthorntide_emulator::WorkOrder;
 use hawthorntide_routing::ConnectionIdCodec;
 use hawthorntide_timeline::EventKind;
-use hawthorntide_types::{EndpointId, ResultCode, ServiceId, ServiceName, WorkKind};
+use hawthorntide_types::{EndpointId, Ran, ResultCode, ServiceId, ServiceName, WorkKind};
 use prost::Message;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -29,6 +29,8 @@
 const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 /// Requests of a flood that wait at the same time; a caller program has limits, too.
 const FLOOD_IN_PROGRESS: usize = 20_000;
+/// Time after which an impatient caller sends its request again.
+const RESEND_PAUSE: Duration = Duration::from_millis(10);
 /// Bytes of an answer that name its work and its service.
 const SERVICE_BYTES: std::ops::Range<usize> = 8..16;
 
@@ -49,6 +51,13 @@
     random: Mutex<ChaCha8Rng>,
 }
 
+/// Why a stream is no longer read.
+enum StreamEnd {
+    /// It was never open.
+    Refused(Arc<Caller>, ResultCode),
+    Lost(Arc<Caller>, ResultCode),
+}
+
 #[derive(Clone, Debug)]
 struct OpenFlow {
     flow: Arc<Flow>,
@@ -211,7 +220,17 @@
     async fn use_flow(&self, flow: &Flow, has_stream: bool) {
         loop {
             let (caller, code) = if has_stream {
-                self.read_stream(flow).await
+                match self.read_stream(flow).await {
+                    StreamEnd::Lost(caller, code) => (caller, code),
+                    StreamEnd::Refused(caller, code) => {
+                        log::debug!("trial: A stream was refused: {code}.");
+                        tokio::time::sleep(REOPEN_PAUSE).await;
+                        if flow.move_away(&caller).await.is_err() {
+                            return;
+                        }
+                        continue;
+                    }
+                }
             } else {
                 (flow.lost().await, ResultCode::UnknownAgentGone)
             };
@@ -229,6 +248,7 @@
                 return;
             }
             if caller.close_reason().is_none() {
+                tokio::time::sleep(REOPEN_PAUSE).await;
                 continue;
             }
             let Ok(next) = flow.reopen(&caller).await else {
@@ -244,23 +264,26 @@
     }
 
     /// Reads a stream until it ends, and checks each message.
-    async fn read_stream(&self, flow: &Flow) -> (Arc<Caller>, ResultCode) {
+    async fn read_stream(&self, flow: &Flow) -> StreamEnd {
         let order = self.order(0);
         let caller = flow.caller();
         let mut stream = match flow.open_stream(order.encode_to_vec()).await {
             Ok(stream) => stream,
-            Err(code) => return (caller, code),
+            Err(code) => return StreamEnd::Lost(caller, code),
         };
         let mut number = 0;
         let code = loop {
             match stream.next_message().await {
                 Ok(Some(message)) => self.check_message(&order, number, &message),
                 Ok(None) => break ResultCode::AnswerCut,
+                Err(code) if number == 0 && code.ran() == Ran::No => {
+                    return StreamEnd::Refused(Arc::clone(stream.caller()), code);
+                }
                 Err(code) => break code,
             }
             number += 1;
         };
-        (Arc::clone(stream.caller()), code)
+        StreamEnd::Lost(Arc::clone(stream.caller()), code)
     }
 
     fn check_message(&self, order: &WorkOrder, number: u64, message: &[u8]) {
@@ -331,7 +354,13 @@
         let asked = self.observer.now();
         let began = Instant::now();
         self.observer.in_progress.fetch_add(1, Ordering::Relaxed);
-        let answer = flow.call(&call).await;
+        let answer = if self.is_resent(mix) {
+            self.call_twice(&flow.caller(), &order, &call).await
+        } else if mix.kind == WorkKind::Sheet {
+            flow.call_idempotent(&call).await
+        } else {
+            flow.call(&call).await
+        };
         self.observer.in_progress.fetch_sub(1, Ordering::Relaxed);
         let is_ok = answer.code == ResultCode::Ok;
         let outcome = WorkOutcome {
@@ -349,6 +378,34 @@
         self.observer.record_outcome(self.id, outcome);
     }
 
+    fn is_resent(&self, mix: &CallerMix) -> bool {
+        let resent = mix.resent_per_mille.get();
+        resent > 0 && self.random(|random| random.random_range(0..1000) < resent)
+    }
+
+    /// Sends a request and, while it is in progress, once more under its sequence, as a caller does
+    /// that has waited too long. Returns the answer of the work.
+    async fn call_twice(&self, caller: &Caller, order: &WorkOrder, call: &Call) -> Answer {
+        let sequence = caller.next_sequence();
+        let again = async {
+            tokio::time::sleep(RESEND_PAUSE).await;
+            caller.call_as(sequence, call, true).await
+        };
+        let (first, second) = tokio::join!(caller.call_as(sequence, call, false), again);
+        if second.code == ResultCode::Ok && second.data != order.answer() {
+            self.observer.seen().wrong_messages += 1;
+        }
+        if second.code.ran() == Ran::No && first.code.ran() != Ran::No {
+            self.observer.seen().false_refusals.push(order.work_id);
+        }
+        // The second one may overtake the first.
+        if first.code == ResultCode::InProgress {
+            second
+        } else {
+            first
+        }
+    }
+
     /// Closes random flows; each is opened again at once.
     async fn replace_flows(self: Arc<Self>) {
         let pause = Duration::from_secs(1) / self.entry.new_flows_per_second.get();
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -99,6 +99,24 @@
     /// Time after a start during which work takes longer.
     #[serde(default)]
     pub cold_start_ms: DurationMs,
+    /// Relation of its health and load reports to the truth.
+    #[serde(default)]
+    pub reports: ReportMode,
+}
+
+/// How an upstream reports its health and load.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum ReportMode {
+    /// What holds now.
+    #[default]
+    Truthful,
+    /// What held three seconds ago.
+    Lagging,
+    /// Always serving and idle.
+    AlwaysIdle,
+    /// Always failed and full.
+    AlwaysFailed,
 }
 
 /// One kind of work that callers ask for.
@@ -113,6 +131,9 @@
     /// Connections that hold an open stream; for streams.
     #[serde(default)]
     pub connections_per_mille: PerMille,
+    /// Requests that callers send twice under the same sequence; for reservations.
+    #[serde(default)]
+    pub resent_per_mille: PerMille,
     /// Size of an answer; for reservations and sheets.
     #[serde(default)]
     pub answer_bytes: ByteCount,
@@ -393,6 +414,11 @@
             format!("{path}.connections_per_mille"),
             "only streams stay open; use load_per_mille",
         );
+        self.require(
+            u32::from(mix.resent_per_mille.get()) <= WHOLE_PER_MILLE,
+            format!("{path}.resent_per_mille"),
+            "0 to 1000 is accepted",
+        );
         self.require(
             u32::from(mix.connections_per_mille.get()) <= WHOLE_PER_MILLE,
             format!("{path}.connections_per_mille"),
