Keep earlier owners that searched after a search began

Each candidate now carries the step at which it last gave reason to be searched, and a search drops only candidates that are older than itself.

--- a/crates/routing/src/opaque.rs
+++ b/crates/routing/src/opaque.rs
@@ -114,6 +114,8 @@
     Searching {
         /// Tells the returns of this search from late ones of an earlier search.
         number: u8,
+        /// Step at which it began.
+        began: u64,
         /// Lowest agent below this one that searches too, and may therefore take the flow.
         rival: Option<EndpointId>,
     },
@@ -133,6 +135,15 @@
     hearsay_since: Option<TimeMs>,
 }
 
+/// Agent that may hold flows of a table slot.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    endpoint: EndpointId,
+    /// Step at which it last gave reason to be searched; a search that began before cannot tell that
+    /// it still holds nothing.
+    since: u64,
+}
+
 /// Decides which agent takes each packet of an opaque UDP service.
 #[derive(Clone, Debug)]
 pub struct OpaqueMachine {
@@ -144,12 +155,14 @@
     others: SlotTable,
     siblings: Vec<Sibling>,
     /// Agents that may hold flows, by table slot.
-    candidates: Vec<Vec<EndpointId>>,
+    candidates: Vec<Vec<Candidate>>,
     flows: HashMap<FlowKey, Flow>,
     flows_per_slot: Vec<u32>,
     max_flows: usize,
     last_expiry: TimeMs,
     last_search: u8,
+    /// Counts searches and reasons for searches in their order.
+    step: u64,
 }
 
 impl OpaqueMachine {
@@ -170,6 +183,7 @@
             max_flows,
             last_expiry: TimeMs::default(),
             last_search: 0,
+            step: 0,
         };
         for route in siblings {
             machine.learn(route);
@@ -203,7 +217,7 @@
             self.change_tables(|slots| slots.set(endpoint, address, Weight::NONE), endpoint);
         }
         for candidates in &mut self.candidates {
-            candidates.retain(|candidate| *candidate != endpoint);
+            candidates.retain(|candidate| candidate.endpoint != endpoint);
         }
     }
 
@@ -329,49 +343,76 @@
 
     /// Takes the flow after a search that found no holder.
     fn conclude(&mut self, packet: Packet) -> OpaqueDecision {
-        self.learn_from(&packet);
+        let flow = self.flows.get(&packet.key).copied();
+        let Some(Flow {
+            state:
+                FlowState::Searching {
+                    number,
+                    began,
+                    rival,
+                },
+            ..
+        }) = flow
+        else {
+            return OpaqueDecision::Drop(ResultCode::InProgress);
+        };
+        if number != packet.trail.number {
+            return OpaqueDecision::Drop(ResultCode::InProgress);
+        }
+        self.learn_from(&packet, began);
         if packet.trail.is_cut_short || packet.trail.next().is_some() {
             // An agent that was left out may hold the flow; taking it here could break it.
             return OpaqueDecision::Drop(ResultCode::HopLimit);
         }
-        let has_no_rival = FlowState::Searching {
-            number: packet.trail.number,
-            rival: None,
-        };
-        let flow = self.flows.get_mut(&packet.key);
-        let Some(flow) = flow.filter(|flow| flow.state == has_no_rival) else {
-            return OpaqueDecision::Drop(ResultCode::InProgress);
-        };
-        if packet.trail.rival != EndpointId::default() {
+        if rival.is_some() || packet.trail.rival != EndpointId::default() {
             return OpaqueDecision::Drop(ResultCode::InProgress);
         }
-        flow.state = FlowState::Held;
-        flow.last_packet = packet.now;
+        let flow = Flow {
+            state: FlowState::Held,
+            last_packet: packet.now,
+        };
+        self.flows.insert(packet.key, flow);
         OpaqueDecision::Hold
     }
 
-    /// Replaces the candidates of the slot by what the search found, agents with flows first.
-    fn learn_from(&mut self, packet: &Packet) {
+    /// Replaces the candidates of the slot by what a search found that began at the step `began`,
+    /// agents with flows first.
+    fn learn_from(&mut self, packet: &Packet, began: u64) {
         self.hear_of(packet.now, &packet.trail);
-        let is_candidate = |entry: &&TrailEntry| entry.endpoint != self.own && !entry.is_settled;
-        let entries = || packet.trail.entries().iter().filter(is_candidate);
-        let holders = entries().filter(|entry| !entry.is_vacant);
-        let links = entries().filter(|entry| entry.is_vacant);
-        let mut found: Vec<_> = holders.chain(links).map(|entry| entry.endpoint).collect();
-        for candidate in &self.candidates[packet.slot] {
-            if packet.trail.entry(*candidate).is_none() {
-                found.push(*candidate);
-            }
-        }
-        found.retain(|endpoint| self.sibling(*endpoint).is_some());
-        found.truncate(MAX_CANDIDATES);
-        self.candidates[packet.slot] = found;
+        let mut old = std::mem::take(&mut self.candidates[packet.slot]);
+        old.retain(|candidate| {
+            let entry = packet.trail.entry(candidate.endpoint);
+            candidate.since > began || entry.is_none_or(|entry| !entry.is_settled)
+        });
+        let is_new = |entry: &&TrailEntry| {
+            let is_own = entry.endpoint == self.own;
+            let is_known = old
+                .iter()
+                .any(|candidate| candidate.endpoint == entry.endpoint);
+            !is_own && !entry.is_settled && !is_known && self.sibling(entry.endpoint).is_some()
+        };
+        let found = packet.trail.entries().iter().filter(is_new);
+        let found: Vec<_> = found
+            .map(|entry| Candidate {
+                endpoint: entry.endpoint,
+                since: began,
+            })
+            .collect();
+        old.extend(found);
+        let is_vacant = |candidate: &Candidate| {
+            let entry = packet.trail.entry(candidate.endpoint);
+            entry.is_none_or(|entry| entry.is_vacant)
+        };
+        old.sort_by_key(is_vacant);
+        old.truncate(MAX_CANDIDATES);
+        self.candidates[packet.slot] = old;
     }
 
     /// Adds the agents that may hold flows of the slot to the trail; returns whether all had room.
     fn add_candidates_to(&self, packet: &mut Packet) -> bool {
         let owner = self.slots.owner_endpoint(packet.slot);
-        let candidates = self.candidates[packet.slot].iter().copied().chain(owner);
+        let candidates = self.candidates[packet.slot].iter();
+        let candidates = candidates.map(|candidate| candidate.endpoint).chain(owner);
         let mut has_room = true;
         for candidate in candidates {
             if packet.trail.entry(candidate).is_some() {
@@ -438,10 +479,12 @@
             return None;
         }
         self.last_search = self.last_search.wrapping_add(1);
+        self.step += 1;
         let number = self.last_search;
         let flow = Flow {
             state: FlowState::Searching {
                 number,
+                began: self.step,
                 rival: None,
             },
             last_packet: packet.now,
@@ -481,12 +524,20 @@
     }
 
     fn add_candidate(&mut self, slot: usize, endpoint: EndpointId) {
-        let is_known = self.sibling_index(endpoint).is_ok();
+        if endpoint == self.own || self.sibling(endpoint).is_none() {
+            return;
+        }
+        self.step += 1;
+        let since = self.step;
         let candidates = &mut self.candidates[slot];
-        if endpoint == self.own || !is_known || candidates.contains(&endpoint) {
+        let known = candidates
+            .iter_mut()
+            .find(|candidate| candidate.endpoint == endpoint);
+        if let Some(known) = known {
+            known.since = since;
             return;
         }
-        candidates.insert(0, endpoint);
+        candidates.insert(0, Candidate { endpoint, since });
         candidates.truncate(MAX_CANDIDATES);
     }
 
