--- a/crates/routing/benches/routing.rs
+++ b/crates/routing/benches/routing.rs
@@ -6,9 +6,12 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use hawthorntide_routing::{
-    ConnectionIdCodec, EndpointRoute, KeyRing, Route, RoutingKey, RoutingTable,
+    ConnectionIdCodec, EndpointRoute, FlowKey, KeyRing, OpaqueArrival, OpaqueDecision,
+    OpaqueMachine, OpeningGate, Route, RoutingKey, RoutingTable,
+};
+use hawthorntide_types::{
+    EndpointId, Incarnation, Phase, RatePerSecond, ServiceId, TimeMs, Transport, Weight,
 };
-use hawthorntide_types::{EndpointId, Incarnation, Phase, ServiceId, TimeMs, Transport, Weight};
 
 const SERVICES: u32 = 2_600;
 const ENDPOINTS: u32 = 5_900;
@@ -17,6 +20,8 @@
 const NOW: TimeMs = TimeMs(1_000_000);
 /// Packets in turn, so that the caches of the processor hold no single answer.
 const PACKETS: u64 = 65_536;
+/// Flows that one agent holds at the design size.
+const FLOWS_PER_AGENT: u64 = 4_000;
 /// Packets that an edge receives with one call.
 const BATCH: usize = 64;
 
@@ -176,5 +181,62 @@
     });
 }
 
-criterion_group!(benches, bench_decisions, bench_changes);
+fn bench_opaque(c: &mut Criterion) {
+    let table = table(spread);
+    let flow = |number: u64| FlowKey {
+        caller: SocketAddr::from(([203, 0, 113, (number >> 14) as u8], number as u16)),
+        service_address: service_address(0),
+    };
+    let mut numbers = (0..PACKETS).cycle();
+    c.bench_function("opaque/balancer", |bencher| {
+        bencher.iter(|| {
+            let key = flow(numbers.next().unwrap());
+            black_box(table.route_opaque(service(0), &key));
+        });
+    });
+    let own = endpoint(0, service(0));
+    let siblings: Vec<_> = (1..7).map(|number| endpoint(number, service(0))).collect();
+    let mut machine = OpaqueMachine::new(&own, &siblings, FLOWS_PER_AGENT as usize);
+    let search = |machine: &mut OpaqueMachine, number| {
+        let decision = machine.handle(NOW, flow(number), OpaqueArrival::Forwarded);
+        assert!(matches!(decision, OpaqueDecision::Relay { .. }));
+    };
+    for number in 0..FLOWS_PER_AGENT {
+        search(&mut machine, number);
+    }
+    c.bench_function("opaque/agent_relays", |bencher| {
+        bencher.iter(|| search(&mut machine, numbers.next().unwrap() % FLOWS_PER_AGENT));
+    });
+    let mut machine = OpaqueMachine::new(&own, &[], FLOWS_PER_AGENT as usize);
+    c.bench_function("opaque/agent_holds", |bencher| {
+        bencher.iter(|| {
+            let key = flow(numbers.next().unwrap() % FLOWS_PER_AGENT);
+            let decision = machine.handle(NOW, key, OpaqueArrival::Forwarded);
+            assert_eq!(decision, OpaqueDecision::Hold);
+        });
+    });
+}
+
+fn bench_gate(c: &mut Criterion) {
+    let mut gate = OpeningGate::new(RatePerSecond(50_000));
+    for number in 0..SERVICES {
+        gate.set_limit(service(number), RatePerSecond(100));
+    }
+    let mut steps = (0..u64::from(SERVICES) * 1000).cycle();
+    c.bench_function("opening/gate", |bencher| {
+        bencher.iter(|| {
+            let step = steps.next().unwrap();
+            let number = (step * 7 % u64::from(SERVICES)) as u32;
+            black_box(gate.admit(TimeMs(step / 50), service(number)))
+        });
+    });
+}
+
+criterion_group!(
+    benches,
+    bench_decisions,
+    bench_changes,
+    bench_opaque,
+    bench_gate
+);
 criterion_main!(benches);
