Forward packets in batches with several workers

The packet path received, decided and sent one packet at a time in one task for each socket, and wrote a metric with a label per drop. Up to four workers now bind each address with SO_REUSEPORT, so that a caller keeps its worker and its order. The buffers belong to the thread, so that nothing is allocated for a packet and memory does not grow with the services.

Opening packets pass the opening gate; its limits follow the profiles of the services. Packets of opaque UDP services go by their flow. Replies found their service socket by binary search in an unsorted list; the list is sorted now.

A packet that the send buffer has no room for is dropped and counted, where the former path waited.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -15,8 +15,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::batch::BatchSocket;
 use crate::control::{Command, ControlHandle, ControlPlane, MAX_COMMANDS};
-use crate::forward;
+use crate::forward::{self, WorkerSockets};
+use crate::openings::Openings;
 
 /// Time without packets after which a draining balancer ends.
 const QUIET: Duration = Duration::from_secs(2);
@@ -24,6 +26,13 @@
 /// Interval at which a drain looks for packets.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Most workers that receive packets; each has a socket of its own for each address, among which the
+/// system spreads the senders.
+const MAX_WORKERS: usize = 4;
+
+/// Service addresses beyond which one worker serves them all, so that descriptors stay few.
+const MAX_SHARED_ADDRESSES: usize = 64;
+
 /// Way in which callers' packets reach the balancer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ingress {
@@ -88,10 +97,11 @@
     pub packets_dropped: u64,
 }
 
-/// State that the tasks of one balancer share.
+/// State that the tasks of one balancer share; whoever needs both locks takes `table` first.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) table: RwLock<RoutingTable>,
+    pub(crate) openings: Mutex<Openings>,
     pub(crate) codec: ConnectionIdCodec,
     pub(crate) ingress: Ingress,
     pub(crate) started: tokio::time::Instant,
@@ -122,16 +132,23 @@
 impl Balancer {
     /// Binds the sockets and starts the tasks of a balancer.
     pub async fn spawn(options: BalancerOptions) -> Result<Self, BalancerError> {
-        let data = Arc::new(bind(options.data_address).await?);
         let control = bind(options.control_address).await?;
-        let data_address = local_address(&data, options.data_address)?;
         let control_address = local_address(&control, options.control_address)?;
         let mut table = RoutingTable::new();
+        let mut openings = Openings::new();
         for service in &options.services {
             table.set_service(service.id(), &service.addresses, service.transport);
+            openings.set_service(service);
         }
+        let service_addresses = match options.ingress {
+            Ingress::Socket => addresses_of(&options.services),
+            Ingress::Encapsulated { .. } => Vec::new(),
+        };
+        let workers = bind_workers(options.data_address, &service_addresses).await?;
+        let data_address = workers[0].data_address();
         let shared = Arc::new(Shared {
             table: RwLock::new(table),
+            openings: Mutex::new(openings),
             codec: ConnectionIdCodec::new(options.keys),
             ingress: options.ingress,
             started: tokio::time::Instant::now(),
@@ -142,30 +159,12 @@
             is_killed: AtomicBool::new(false),
         });
         let tasks = TaskTracker::new();
-        let mut service_sockets = Vec::new();
-        if options.ingress == Ingress::Socket {
-            for address in options
-                .services
-                .iter()
-                .flat_map(|service| &service.addresses)
-            {
-                service_sockets.push((*address, Arc::new(bind(*address).await?)));
+        for sockets in workers.into_iter().map(Arc::new) {
+            for position in 0..=sockets.services.len() {
+                let shared = Arc::clone(&shared);
+                tasks.spawn(forward::run(shared, Arc::clone(&sockets), position));
             }
         }
-        for (address, socket) in &service_sockets {
-            let run = forward::from_callers(
-                Arc::clone(&shared),
-                *address,
-                Arc::clone(socket),
-                Arc::clone(&data),
-            );
-            tasks.spawn(run);
-        }
-        tasks.spawn(forward::from_data_socket(
-            Arc::clone(&shared),
-            data,
-            service_sockets,
-        ));
         let identity = BalancerIdentity {
             incarnation: options.incarnation,
             control_address,
@@ -252,6 +251,58 @@
     }
 }
 
+/// Returns the addresses of all services in ascending order.
+fn addresses_of(services: &[Service]) -> Vec<SocketAddr> {
+    let addresses = services.iter().flat_map(|service| &service.addresses);
+    let mut addresses: Vec<_> = addresses.copied().collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
+
+/// Binds the sockets of all workers.
+async fn bind_workers(
+    data_address: SocketAddr,
+    service_addresses: &[SocketAddr],
+) -> Result<Vec<WorkerSockets>, BalancerError> {
+    // Sockets of workers share their address with any process of the user, so only a socket that
+    // does not share finds out that another process has the address.
+    for address in service_addresses.iter().chain([&data_address]) {
+        drop(bind(*address).await?);
+    }
+    let count = if service_addresses.len() > MAX_SHARED_ADDRESSES {
+        1
+    } else {
+        std::thread::available_parallelism().map_or(1, |count| count.get().min(MAX_WORKERS))
+    };
+    let mut workers: Vec<WorkerSockets> = Vec::new();
+    for _ in 0..count {
+        let data_address = workers
+            .first()
+            .map_or(data_address, WorkerSockets::data_address);
+        let bind = |address| {
+            bind_shared(address).map_err(|source| BalancerError::Bind { address, source })
+        };
+        let mut services = Vec::new();
+        for address in service_addresses {
+            services.push((*address, bind(*address)?));
+        }
+        let data = bind(data_address)?;
+        workers.push(WorkerSockets { data, services });
+    }
+    Ok(workers)
+}
+
+/// Binds a socket whose address other workers bind too.
+fn bind_shared(address: SocketAddr) -> std::io::Result<BatchSocket> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::DGRAM, None)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    BatchSocket::new(UdpSocket::from_std(socket.into())?)
+}
+
 async fn bind(address: SocketAddr) -> Result<UdpSocket, BalancerError> {
     UdpSocket::bind(address)
         .await
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hawthorntide_configuration::{Object, SERVICE_KIND};
+use hawthorntide_configuration::{Object, PROFILE_KIND, SERVICE_KIND};
 use hawthorntide_membership::{
     Alarm, BalancerMember, ConfirmReport, ControlGate, Endpoint, GossipAction, GossipEvent,
     GossipMachine, Health, LocalChange, Member,
@@ -18,6 +18,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::balancer::Shared;
+use crate::openings::Openings;
 
 /// Interval of the machine's ticks.
 const TICK: Duration = Duration::from_millis(100);
@@ -326,23 +327,52 @@
 }
 
 fn apply_object(shared: &Shared, object: &Object) {
-    if object.kind != SERVICE_KIND {
-        return;
+    match object.kind.as_str() {
+        SERVICE_KIND if object.is_deleted => remove_service(shared, object),
+        SERVICE_KIND => match serde_json::from_slice::<Service>(&object.value) {
+            Ok(service) => set_service(shared, &service),
+            Err(error) => log_not_applied(object, &error),
+        },
+        PROFILE_KIND if !object.is_deleted => match serde_json::from_slice(&object.value) {
+            Ok(profile) => openings(shared).set_profile(&profile),
+            Err(error) => log_not_applied(object, &error),
+        },
+        _ => {}
     }
-    let mut table = shared.table.write().unwrap_or_else(PoisonError::into_inner);
-    if object.is_deleted {
-        if let Ok(name) = object.name.parse::<ServiceName>() {
-            table.remove_service(ServiceId::of_name(&name));
-        }
+}
+
+fn set_service(shared: &Shared, service: &Service) {
+    shared
+        .table
+        .write()
+        .unwrap_or_else(PoisonError::into_inner)
+        .set_service(service.id(), &service.addresses, service.transport);
+    openings(shared).set_service(service);
+}
+
+fn remove_service(shared: &Shared, object: &Object) {
+    let Ok(name) = object.name.parse::<ServiceName>() else {
         return;
-    }
-    match serde_json::from_slice::<Service>(&object.value) {
-        Ok(service) => table.set_service(service.id(), &service.addresses, service.transport),
-        Err(error) => log::error!(
-            "configuration: Service {} not applied: {error}.",
-            object.name
-        ),
-    }
+    };
+    let id = ServiceId::of_name(&name);
+    shared
+        .table
+        .write()
+        .unwrap_or_else(PoisonError::into_inner)
+        .remove_service(id);
+    openings(shared).remove_service(id);
+}
+
+fn openings(shared: &Shared) -> MutexGuard<'_, Openings> {
+    shared
+        .openings
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+}
+
+fn log_not_applied(object: &Object, error: &serde_json::Error) {
+    let (kind, name) = (&object.kind, &object.name);
+    log::error!("configuration: Object {kind} {name} not applied: {error}.");
 }
 
 fn log_alarm(alarm: &Alarm) {
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -1,164 +1,237 @@
 //! Packet path between callers and agents.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
-use hawthorntide_routing::Route;
-use hawthorntide_types::{ResultCode, ServiceId};
-use hawthorntide_wire::{ForwardHeader, ForwardKind, HEADER_BYTES};
-use tokio::net::UdpSocket;
+use hawthorntide_routing::{FlowKey, Route, RoutingTable};
+use hawthorntide_types::{ResultCode, ServiceId, TimeMs, Transport};
+use hawthorntide_wire::{ForwardHeader, ForwardKind};
 
 use crate::balancer::{Ingress, Shared};
+use crate::batch::{BatchSocket, Drops, Outgoing, Range, Received, Sending, Sent};
 
-/// Largest datagram that is received.
-const MAX_DATAGRAM_BYTES: usize = 2048;
+/// Position of the data socket among the sockets of a worker.
+const DATA: usize = 0;
 
-/// Sockets by the service address that they are bound to.
-pub(crate) type ServiceSockets = Vec<(SocketAddr, Arc<UdpSocket>)>;
+/// Sockets of one worker: the data socket, then those of the service addresses in ascending order.
+#[derive(Debug)]
+pub(crate) struct WorkerSockets {
+    pub(crate) data: BatchSocket,
+    pub(crate) services: Vec<(SocketAddr, BatchSocket)>,
+}
 
-/// Forwards packets that arrive at a service address.
-pub(crate) async fn from_callers(
-    shared: Arc<Shared>,
-    service_address: SocketAddr,
-    socket: Arc<UdpSocket>,
-    data: Arc<UdpSocket>,
-) {
-    let mut buffer = [0; MAX_DATAGRAM_BYTES];
-    loop {
-        let received = tokio::select! {
-            () = shared.stop.cancelled() => return,
-            received = socket.recv_from(&mut buffer[HEADER_BYTES..]) => received,
-        };
-        // An ICMP answer to an earlier packet surfaces here and concerns no later packet.
-        let Ok((length, caller)) = received else {
-            continue;
-        };
-        let datagram = &mut buffer[..HEADER_BYTES + length];
-        forward(&shared, caller, service_address, datagram, &data).await;
+/// Space of one thread; all tasks of the thread use it, because none waits while it does.
+struct Space {
+    received: Received,
+    sending: Sending,
+    drops: Drops,
+}
+
+thread_local! {
+    static SPACE: RefCell<Space> = RefCell::new(Space {
+        received: Received::new(),
+        sending: Sending::default(),
+        drops: Drops::default(),
+    });
+}
+
+impl WorkerSockets {
+    pub(crate) const fn data_address(&self) -> SocketAddr {
+        self.data.local_address()
+    }
+
+    fn get(&self, position: usize) -> &BatchSocket {
+        match position.checked_sub(1) {
+            None => &self.data,
+            Some(index) => &self.services[index].1,
+        }
+    }
+
+    fn service_position(&self, address: SocketAddr) -> Option<usize> {
+        let index = self
+            .services
+            .binary_search_by_key(&address, |entry| entry.0);
+        index.ok().map(|index| index + 1)
     }
 }
 
-/// Handles packets of agents and of an encapsulating fabric.
-pub(crate) async fn from_data_socket(
-    shared: Arc<Shared>,
-    data: Arc<UdpSocket>,
-    sockets: ServiceSockets,
-) {
-    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+/// Forwards what arrives at one socket until the balancer stops.
+pub(crate) async fn run(shared: Arc<Shared>, sockets: Arc<WorkerSockets>, position: usize) {
+    let socket = sockets.get(position);
     loop {
-        let received = tokio::select! {
+        tokio::select! {
             () = shared.stop.cancelled() => return,
-            received = data.recv_from(&mut buffer) => received,
-        };
-        let Ok((length, from)) = received else {
-            continue;
-        };
-        let datagram = &mut buffer[..length];
-        let Ok((header, _)) = ForwardHeader::read(datagram) else {
-            drop_packet(&shared, ResultCode::PacketMalformed);
-            continue;
-        };
-        match header.kind {
-            ForwardKind::Ingress if is_fabric(&shared, from) => {
-                forward(
-                    &shared,
-                    header.caller,
-                    header.service_address,
-                    datagram,
-                    &data,
-                )
-                .await;
-            }
-            ForwardKind::Reply => {
-                reply(&shared, from, header, datagram, &data, &sockets).await;
+            ready = socket.readable() => {
+                if ready.is_err() {
+                    return;
+                }
             }
-            _ => drop_packet(&shared, ResultCode::SourceUnknown),
         }
+        SPACE.with_borrow_mut(|space| {
+            if socket.receive(&mut space.received) {
+                forward_batch(&shared, &sockets, position, space);
+            }
+        });
     }
 }
 
-fn is_fabric(shared: &Shared, from: SocketAddr) -> bool {
-    matches!(shared.ingress, Ingress::Encapsulated { fabric_address } if fabric_address == from)
-}
-
-/// Sends a caller's packet to the agent that the routing table names.
-async fn forward(
-    shared: &Shared,
-    caller: SocketAddr,
-    service_address: SocketAddr,
-    datagram: &mut [u8],
-    data: &UdpSocket,
-) {
-    let (service, to, kind) = match decide(shared, service_address, &datagram[HEADER_BYTES..]) {
-        Ok(decision) => decision,
-        Err(code) => return drop_packet(shared, code),
+/// Decides about a batch under one lock of the table, and sends it after the lock is released.
+fn forward_batch(shared: &Shared, sockets: &WorkerSockets, position: usize, space: &mut Space) {
+    let Space {
+        received,
+        sending,
+        drops,
+    } = space;
+    let worker = Worker {
+        shared,
+        sockets,
+        now: shared.now(),
     };
-    let header = ForwardHeader {
-        kind,
-        hops: 0,
-        service,
-        caller,
-        service_address,
-    };
-    header.write(datagram);
-    if data.send_to(datagram, to).await.is_ok() {
-        shared.packets_forwarded.fetch_add(1, Ordering::Relaxed);
+    {
+        let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
+        for (from, range) in received.datagrams() {
+            let datagram = received.bytes(range);
+            let decision = match position.checked_sub(1) {
+                None => worker.unwrap(&table, from, datagram, range),
+                Some(index) => {
+                    let service_address = sockets.services[index].0;
+                    worker.forward(&table, from, service_address, datagram, range)
+                }
+            };
+            match decision {
+                Ok(outgoing) => sending.push(outgoing),
+                Err(code) => drops.add(code, 1),
+            }
+        }
     }
+    let sent = sending.flush(received, |position| sockets.get(position));
+    drops.add(ResultCode::Failure, sent.failed);
+    let Sent {
+        forwarded, replied, ..
+    } = sent;
+    shared
+        .packets_forwarded
+        .fetch_add(forwarded, Ordering::Relaxed);
+    shared.packets_replied.fetch_add(replied, Ordering::Relaxed);
+    let dropped = drops.report();
+    shared.packets_dropped.fetch_add(dropped, Ordering::Relaxed);
 }
 
-fn decide(
-    shared: &Shared,
-    service_address: SocketAddr,
-    packet: &[u8],
-) -> Result<(ServiceId, SocketAddr, ForwardKind), ResultCode> {
-    let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
-    let Some(service) = table.service_of(service_address) else {
-        return Err(ResultCode::SourceUnknown);
-    };
-    match table.route(shared.now(), service, packet, &shared.codec) {
-        Route::Forward { to, kind } => Ok((service, to, kind)),
-        Route::Drop(code) => Err(code),
-    }
+/// What the decisions about one batch have in common.
+struct Worker<'a> {
+    shared: &'a Shared,
+    sockets: &'a WorkerSockets,
+    now: TimeMs,
 }
 
-/// Sends an agent's packet to the caller from the service address.
-async fn reply(
-    shared: &Shared,
-    from: SocketAddr,
-    header: ForwardHeader,
-    datagram: &[u8],
-    data: &UdpSocket,
-    sockets: &ServiceSockets,
-) {
-    let is_member = {
-        let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
-        table.is_endpoint_of(header.service, from)
-            && table.service_of(header.service_address) == Some(header.service)
-    };
-    if !is_member {
-        return drop_packet(shared, ResultCode::SourceUnknown);
+impl Worker<'_> {
+    /// Decides about a wrapped packet of an agent or of an encapsulating fabric.
+    fn unwrap(
+        &self,
+        table: &RoutingTable,
+        from: SocketAddr,
+        datagram: &[u8],
+        range: Range,
+    ) -> Result<Outgoing, ResultCode> {
+        let (header, packet) = ForwardHeader::read(datagram)?;
+        let range = range.without_header();
+        match header.kind {
+            ForwardKind::Ingress if self.is_fabric(from) => {
+                self.forward(table, header.caller, header.service_address, packet, range)
+            }
+            ForwardKind::Reply => self.reply(table, from, header, range),
+            _ => Err(ResultCode::SourceUnknown),
+        }
     }
-    let sent = match shared.ingress {
-        Ingress::Encapsulated { fabric_address } => data.send_to(datagram, fabric_address).await,
-        Ingress::Socket => {
-            let index = sockets.binary_search_by_key(&header.service_address, |entry| entry.0);
-            let Ok(index) = index else {
-                return drop_packet(shared, ResultCode::SourceUnknown);
+
+    fn is_fabric(&self, from: SocketAddr) -> bool {
+        matches!(
+            self.shared.ingress,
+            Ingress::Encapsulated { fabric_address } if fabric_address == from
+        )
+    }
+
+    /// Decides about a caller's packet.
+    fn forward(
+        &self,
+        table: &RoutingTable,
+        caller: SocketAddr,
+        service_address: SocketAddr,
+        packet: &[u8],
+        range: Range,
+    ) -> Result<Outgoing, ResultCode> {
+        let Some(service) = table.service_of(service_address) else {
+            return Err(ResultCode::SourceUnknown);
+        };
+        let route = if table.transport_of(service) == Some(Transport::Udp) {
+            let flow = FlowKey {
+                caller,
+                service_address,
             };
-            sockets[index]
-                .1
-                .send_to(&datagram[HEADER_BYTES..], header.caller)
-                .await
+            table.route_opaque(service, &flow)
+        } else {
+            table.route(self.now, service, packet, &self.shared.codec)
+        };
+        let (to, kind) = match route {
+            Route::Forward { to, kind } => (to, kind),
+            Route::Drop(code) => return Err(code),
+        };
+        if kind == ForwardKind::Opening {
+            self.admit(service)?;
         }
-    };
-    if sent.is_ok() {
-        shared.packets_replied.fetch_add(1, Ordering::Relaxed);
+        let header = ForwardHeader {
+            kind,
+            hops: 0,
+            service,
+            caller,
+            service_address,
+        };
+        Ok(Outgoing {
+            socket: DATA,
+            to,
+            is_opening: kind == ForwardKind::Opening,
+            is_reply: false,
+            header: Some(header),
+            packet: range,
+        })
     }
-}
 
-fn drop_packet(shared: &Shared, code: ResultCode) {
-    shared.packets_dropped.fetch_add(1, Ordering::Relaxed);
-    metrics::counter!("hawthorntide_balancer_packets_dropped_total", "code" => code.name())
-        .increment(1);
+    fn admit(&self, service: ServiceId) -> Result<(), ResultCode> {
+        let openings = self.shared.openings.lock();
+        let mut openings = openings.unwrap_or_else(PoisonError::into_inner);
+        openings.admit(self.now, service)
+    }
+
+    /// Decides about an agent's packet, which leaves from the service address.
+    fn reply(
+        &self,
+        table: &RoutingTable,
+        from: SocketAddr,
+        header: ForwardHeader,
+        range: Range,
+    ) -> Result<Outgoing, ResultCode> {
+        let is_member = table.is_endpoint_of(header.service, from)
+            && table.service_of(header.service_address) == Some(header.service);
+        if !is_member {
+            return Err(ResultCode::SourceUnknown);
+        }
+        let (socket, to, header) = match self.shared.ingress {
+            Ingress::Encapsulated { fabric_address } => (DATA, fabric_address, Some(header)),
+            Ingress::Socket => {
+                let position = self.sockets.service_position(header.service_address);
+                let position = position.ok_or(ResultCode::SourceUnknown)?;
+                (position, header.caller, None)
+            }
+        };
+        Ok(Outgoing {
+            socket,
+            to,
+            is_opening: false,
+            is_reply: true,
+            header,
+            packet: range,
+        })
+    }
 }
--- /dev/null
+++ b/crates/balancer/src/openings.rs
@@ -0,0 +1,80 @@
+//! Limits of opening packets, as the profiles of the services set them.
+
+use hawthorntide_routing::OpeningGate;
+use hawthorntide_types::{
+    Profile, ProfileName, RatePerSecond, ResultCode, Service, ServiceId, TimeMs,
+};
+
+/// Opening packets a second that one balancer lets through; agents answer them with handshakes,
+/// which cost far more than forwarding.
+const TOTAL_RATE: RatePerSecond = RatePerSecond(50_000);
+
+/// Limit of a service whose profile is not known.
+const DEFAULT_LIMIT: RatePerSecond = RatePerSecond(20_000);
+
+/// Gate for opening packets with what its limits derive from.
+#[derive(Debug)]
+pub(crate) struct Openings {
+    gate: OpeningGate,
+    services: Vec<(ServiceId, ProfileName)>,
+    limits: Vec<(ProfileName, RatePerSecond)>,
+}
+
+impl Openings {
+    pub(crate) fn new() -> Self {
+        Self {
+            gate: OpeningGate::new(TOTAL_RATE),
+            services: Vec::new(),
+            limits: Vec::new(),
+        }
+    }
+
+    pub(crate) fn admit(&mut self, now: TimeMs, service: ServiceId) -> Result<(), ResultCode> {
+        self.gate.admit(now, service)
+    }
+
+    pub(crate) fn set_service(&mut self, service: &Service) {
+        let id = service.id();
+        let entry = (id, service.profile.clone());
+        match self.services.binary_search_by_key(&id, |entry| entry.0) {
+            Ok(index) => self.services[index] = entry,
+            Err(index) => self.services.insert(index, entry),
+        }
+        self.gate.set_limit(id, self.limit_of(&service.profile));
+    }
+
+    pub(crate) fn remove_service(&mut self, id: ServiceId) {
+        if let Ok(index) = self.services.binary_search_by_key(&id, |entry| entry.0) {
+            self.services.remove(index);
+        }
+        self.gate.remove_service(id);
+    }
+
+    /// Sets the limit of all services that follow `profile`: the flows of all kinds of work in its
+    /// calm half, because a balancer cannot tell the kinds apart before the handshake.
+    pub(crate) fn set_profile(&mut self, profile: &Profile) {
+        let rates = profile
+            .work
+            .iter()
+            .map(|work| work.calm.new_flows_per_second);
+        let limit = RatePerSecond(rates.fold(0, |sum, rate| sum.saturating_add(rate.get())));
+        let entry = (profile.name.clone(), limit);
+        match self
+            .limits
+            .binary_search_by(|entry| entry.0.cmp(&profile.name))
+        {
+            Ok(index) => self.limits[index] = entry,
+            Err(index) => self.limits.insert(index, entry),
+        }
+        for (id, name) in &self.services {
+            if *name == profile.name {
+                self.gate.set_limit(*id, limit);
+            }
+        }
+    }
+
+    fn limit_of(&self, profile: &ProfileName) -> RatePerSecond {
+        let index = self.limits.binary_search_by(|entry| entry.0.cmp(profile));
+        index.map_or(DEFAULT_LIMIT, |index| self.limits[index].1)
+    }
+}
--- /dev/null
+++ b/crates/balancer/tests/support/mod.rs
@@ -0,0 +1,135 @@
+//! Stand-ins around a balancer on loopback sockets.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+use hawthorntide_balancer::{Balancer, BalancerError, BalancerOptions, Ingress};
+use hawthorntide_membership::{
+    AgentIdentity, AnnounceAction, AnnounceEvent, AnnounceMachine, ControlGate,
+};
+use hawthorntide_routing::{ConnectionIdCodec, KeyRing, RoutingKey};
+use hawthorntide_types::{
+    EndpointId, Incarnation, NodeId, Service, ServiceId, SlotCount, TimeMs, Transport,
+};
+use hawthorntide_wire::{ClusterKey, ControlCodec};
+
+/// Time that a loopback packet or an announcement takes at most.
+pub const PATIENCE: Duration = Duration::from_secs(5);
+
+pub fn keys() -> KeyRing {
+    KeyRing::new(RoutingKey::new(1, [7; 16]), None).unwrap()
+}
+
+pub fn codec() -> ConnectionIdCodec {
+    ConnectionIdCodec::new(keys())
+}
+
+fn control() -> ControlCodec {
+    ControlCodec::new("test", ClusterKey::new([3; 32]))
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn service(name: &str, transport: Transport) -> Service {
+    let free = UdpSocket::bind(any_port()).unwrap();
+    Service {
+        name: name.parse().unwrap(),
+        addresses: vec![free.local_addr().unwrap()],
+        transport,
+        profile: "default".parse().unwrap(),
+        team: String::new(),
+    }
+}
+
+pub async fn balancer(services: &[Service]) -> Balancer {
+    try_balancer(services).await.unwrap()
+}
+
+pub async fn try_balancer(services: &[Service]) -> Result<Balancer, BalancerError> {
+    let options = BalancerOptions {
+        failure_domain: "a".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        data_address: any_port(),
+        control_address: any_port(),
+        ingress: Ingress::Socket,
+        services: services.to_vec(),
+        peers: Vec::new(),
+        admin_address: None,
+        control: control(),
+        keys: keys(),
+        incarnation: Incarnation(1),
+    };
+    Balancer::spawn(options).await
+}
+
+/// Endpoint that announced itself; nothing answers on its control socket afterwards.
+pub struct StandIn {
+    pub data: UdpSocket,
+    pub endpoint: EndpointId,
+}
+
+impl StandIn {
+    /// Announces an endpoint of `service` at the balancer.
+    pub fn announce(service: ServiceId, balancer: &Balancer) -> Self {
+        let data = UdpSocket::bind(any_port()).unwrap();
+        data.set_read_timeout(Some(PATIENCE)).unwrap();
+        let data_address = data.local_addr().unwrap();
+        let socket = UdpSocket::bind(any_port()).unwrap();
+        let control_address = socket.local_addr().unwrap();
+        let identity = AgentIdentity {
+            incarnation: Incarnation(1),
+            service,
+            data_address,
+            control_address,
+            failure_domain: "a".parse().unwrap(),
+            slots: SlotCount(2),
+        };
+        let mut gate = ControlGate::new(control(), control_address, Incarnation(1));
+        let mut machine = AnnounceMachine::new(identity, 1);
+        let mut actions = Vec::new();
+        let peers = vec![balancer.control_address()];
+        for event in [
+            AnnounceEvent::SeedPeers(peers),
+            AnnounceEvent::Serve,
+            AnnounceEvent::Tick,
+        ] {
+            machine.handle(TimeMs(1), event, &mut actions);
+        }
+        for action in actions {
+            if let AnnounceAction::Send { to, message } = action {
+                socket.send_to(&gate.seal(&message).unwrap(), to).unwrap();
+            }
+        }
+        Self {
+            data,
+            endpoint: EndpointId::of_address(data_address),
+        }
+    }
+
+    /// Returns a packet of an established flow.
+    pub fn established_packet(&self, nonce: u64, length: usize) -> Vec<u8> {
+        let mut packet = vec![0x40];
+        packet.extend_from_slice(&codec().encode(self.endpoint, Incarnation(1), nonce));
+        packet.resize(length, 0);
+        packet
+    }
+}
+
+/// Waits until the balancer knows `count` endpoints.
+pub async fn wait_for_endpoints(balancer: &Balancer, count: usize) {
+    let start = Instant::now();
+    loop {
+        let view = balancer.control().view().await.unwrap();
+        if view.endpoints.len() == count {
+            return;
+        }
+        let node = NodeId::of_address(balancer.control_address());
+        assert!(
+            start.elapsed() < PATIENCE,
+            "{count} endpoints never reached balancer {node}"
+        );
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
