--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -5,12 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
-use hawthorntide_routing::{FlowKey, Route, RoutingTable};
+use hawthorntide_routing::{ConnectionIdCodec, FlowKey, Route, RoutingTable};
 use hawthorntide_types::{ResultCode, ServiceId, TimeMs, Transport};
 use hawthorntide_wire::{ForwardHeader, ForwardKind};
 
 use crate::balancer::{Ingress, Shared};
 use crate::batch::{BatchSocket, Drops, Outgoing, Range, Received, Sending, Sent};
+use crate::codec::TaskCodec;
 
 /// Position of the data socket among the sockets of a worker.
 const DATA: usize = 0;
@@ -60,6 +61,7 @@
 /// Forwards what arrives at one socket until the balancer stops.
 pub(crate) async fn run(shared: Arc<Shared>, sockets: Arc<WorkerSockets>, position: usize) {
     let socket = sockets.get(position);
+    let mut codec = TaskCodec::new(shared.codec.subscribe());
     loop {
         tokio::select! {
             () = shared.stop.cancelled() => return,
@@ -71,62 +73,65 @@
         }
         SPACE.with_borrow_mut(|space| {
             if socket.receive(&mut space.received) {
-                forward_batch(&shared, &sockets, position, space);
+                let worker = Worker {
+                    shared: &shared,
+                    sockets: &sockets,
+                    codec: codec.current(),
+                    now: shared.now(),
+                };
+                worker.forward_batch(position, space);
             }
         });
     }
 }
 
-/// Decides about a batch under one lock of the table, and sends it after the lock is released.
-fn forward_batch(shared: &Shared, sockets: &WorkerSockets, position: usize, space: &mut Space) {
-    let Space {
-        received,
-        sending,
-        drops,
-    } = space;
-    let worker = Worker {
-        shared,
-        sockets,
-        now: shared.now(),
-    };
-    {
-        let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
-        for (from, range) in received.datagrams() {
-            let datagram = received.bytes(range);
-            let decision = match position.checked_sub(1) {
-                None => worker.unwrap(&table, from, datagram, range),
-                Some(index) => {
-                    let service_address = sockets.services[index].0;
-                    worker.forward(&table, from, service_address, datagram, range)
-                }
-            };
-            match decision {
-                Ok(outgoing) => sending.push(outgoing),
-                Err(code) => drops.add(code, 1),
-            }
-        }
-    }
-    let sent = sending.flush(received, |position| sockets.get(position));
-    drops.add(ResultCode::Failure, sent.failed);
-    let Sent {
-        forwarded, replied, ..
-    } = sent;
-    shared
-        .packets_forwarded
-        .fetch_add(forwarded, Ordering::Relaxed);
-    shared.packets_replied.fetch_add(replied, Ordering::Relaxed);
-    let dropped = drops.report();
-    shared.packets_dropped.fetch_add(dropped, Ordering::Relaxed);
-}
-
 /// What the decisions about one batch have in common.
 struct Worker<'a> {
     shared: &'a Shared,
     sockets: &'a WorkerSockets,
+    codec: &'a ConnectionIdCodec,
     now: TimeMs,
 }
 
 impl Worker<'_> {
+    /// Decides about a batch under one lock of the table, and sends it after the lock is released.
+    fn forward_batch(&self, position: usize, space: &mut Space) {
+        let Space {
+            received,
+            sending,
+            drops,
+        } = space;
+        let (shared, sockets) = (self.shared, self.sockets);
+        {
+            let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
+            for (from, range) in received.datagrams() {
+                let datagram = received.bytes(range);
+                let decision = match position.checked_sub(1) {
+                    None => self.unwrap(&table, from, datagram, range),
+                    Some(index) => {
+                        let service_address = sockets.services[index].0;
+                        self.forward(&table, from, service_address, datagram, range)
+                    }
+                };
+                match decision {
+                    Ok(outgoing) => sending.push(outgoing),
+                    Err(code) => drops.add(code, 1),
+                }
+            }
+        }
+        let sent = sending.flush(received, |position| sockets.get(position));
+        drops.add(ResultCode::Failure, sent.failed);
+        let Sent {
+            forwarded, replied, ..
+        } = sent;
+        shared
+            .packets_forwarded
+            .fetch_add(forwarded, Ordering::Relaxed);
+        shared.packets_replied.fetch_add(replied, Ordering::Relaxed);
+        let dropped = drops.report();
+        shared.packets_dropped.fetch_add(dropped, Ordering::Relaxed);
+    }
+
     /// Decides about a wrapped packet of an agent or of an encapsulating fabric.
     fn unwrap(
         &self,
@@ -172,7 +177,7 @@
             };
             table.route_opaque(service, &flow)
         } else {
-            table.route(self.now, service, packet, &self.shared.codec)
+            table.route(self.now, service, packet, self.codec)
         };
         let (to, kind) = match route {
             Route::Forward { to, kind } => (to, kind),
--- a/crates/balancer/tests/support/mod.rs
+++ b/crates/balancer/tests/support/mod.rs
@@ -11,11 +11,14 @@
 use hawthorntide_types::{
     EndpointId, Incarnation, NodeId, Service, ServiceId, SlotCount, TimeMs, Transport,
 };
-use hawthorntide_wire::{ClusterKey, ControlCodec};
+use hawthorntide_wire::{ClusterKey, ControlCodec, MAX_CONTROL_BYTES};
 
 /// Time that a loopback packet or an announcement takes at most.
 pub const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Interval of the ticks of a stand-in.
+const TICK: Duration = Duration::from_millis(20);
+
 pub fn keys() -> KeyRing {
     KeyRing::new(RoutingKey::new(1, [7; 16]), None).unwrap()
 }
@@ -64,7 +67,7 @@
     Balancer::spawn(options).await
 }
 
-/// Endpoint that announced itself; nothing answers on its control socket afterwards.
+/// Endpoint that announces itself.
 pub struct StandIn {
     pub data: UdpSocket,
     pub endpoint: EndpointId,
@@ -86,22 +89,10 @@
             failure_domain: "a".parse().unwrap(),
             slots: SlotCount(2),
         };
-        let mut gate = ControlGate::new(control(), control_address, Incarnation(1));
-        let mut machine = AnnounceMachine::new(identity, 1);
-        let mut actions = Vec::new();
+        let gate = ControlGate::new(control(), control_address, Incarnation(1));
+        let machine = AnnounceMachine::new(identity, 1);
         let peers = vec![balancer.control_address()];
-        for event in [
-            AnnounceEvent::SeedPeers(peers),
-            AnnounceEvent::Serve,
-            AnnounceEvent::Tick,
-        ] {
-            machine.handle(TimeMs(1), event, &mut actions);
-        }
-        for action in actions {
-            if let AnnounceAction::Send { to, message } = action {
-                socket.send_to(&gate.seal(&message).unwrap(), to).unwrap();
-            }
-        }
+        std::thread::spawn(move || keep_announced(&socket, gate, machine, peers));
         Self {
             data,
             endpoint: EndpointId::of_address(data_address),
@@ -117,6 +108,39 @@
     }
 }
 
+/// Sends heartbeats until the process ends.
+fn keep_announced(
+    socket: &UdpSocket,
+    mut gate: ControlGate,
+    mut machine: AnnounceMachine,
+    peers: Vec<SocketAddr>,
+) {
+    let start = Instant::now();
+    let mut buffer = [0; MAX_CONTROL_BYTES];
+    let mut actions = Vec::new();
+    let mut events = vec![AnnounceEvent::SeedPeers(peers), AnnounceEvent::Serve];
+    socket.set_read_timeout(Some(TICK)).unwrap();
+    loop {
+        events.push(AnnounceEvent::Tick);
+        if let Ok((length, from)) = socket.recv_from(&mut buffer)
+            && let Ok((from, message)) = gate.open(from, &buffer[..length])
+        {
+            events.push(AnnounceEvent::Message { from, message });
+        }
+        let now = TimeMs(start.elapsed().as_millis() as u64);
+        for event in events.drain(..) {
+            machine.handle(now, event, &mut actions);
+        }
+        for action in actions.drain(..) {
+            if let AnnounceAction::Send { to, message } = action
+                && socket.send_to(&gate.seal(&message).unwrap(), to).is_err()
+            {
+                return;
+            }
+        }
+    }
+}
+
 /// Waits until the balancer knows `count` endpoints.
 pub async fn wait_for_endpoints(balancer: &Balancer, count: usize) {
     let start = Instant::now();
