--- a/crates/agent/src/socket.rs
+++ b/crates/agent/src/socket.rs
@@ -99,11 +99,8 @@
         }
         // A connection identifier that names this agent resumes a session and has to stay.
         let class = {
-            let codec = self
-                .shared
-                .codec
-                .read()
-                .unwrap_or_else(PoisonError::into_inner);
+            let codec = &self.shared.codec;
+            let codec = codec.read().unwrap_or_else(PoisonError::into_inner);
             classify(packet, &codec)
         };
         let PacketClass::Opening { key } = class else {
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -11,14 +11,14 @@
 use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
 use hawthorntide_wire::ControlCodec;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::batch::BatchSocket;
+use crate::batch::{MAX_WORKERS, bind_shared};
 use crate::control::{Command, ControlHandle, ControlPlane, MAX_COMMANDS};
-use crate::forward::{self, WorkerSockets};
 use crate::openings::Openings;
+use crate::service_sockets::{ServiceSockets, SocketContext};
 
 /// Time without packets after which a draining balancer ends.
 const QUIET: Duration = Duration::from_secs(2);
@@ -26,13 +26,6 @@
 /// Interval at which a drain looks for packets.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
-/// Most workers that receive packets; each has a socket of its own for each address, among which the
-/// system spreads the senders.
-const MAX_WORKERS: usize = 4;
-
-/// Service addresses beyond which one worker serves them all, so that descriptors stay few.
-const MAX_SHARED_ADDRESSES: usize = 64;
-
 /// Way in which callers' packets reach the balancer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ingress {
@@ -97,7 +90,8 @@
     pub packets_dropped: u64,
 }
 
-/// State that the tasks of one balancer share; whoever needs both locks takes `table` first.
+/// State that the tasks of one balancer share; locks are taken in the order of the service
+/// sockets, `table`, `openings`.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) table: RwLock<RoutingTable>,
@@ -109,6 +103,8 @@
     pub(crate) packets_replied: AtomicU64,
     pub(crate) packets_dropped: AtomicU64,
     pub(crate) stop: CancellationToken,
+    /// Notified when the set of services or their addresses may have changed.
+    pub(crate) services_changed: Notify,
     /// Set when the stop is not to be announced.
     pub(crate) is_killed: AtomicBool,
 }
@@ -140,12 +136,13 @@
             table.set_service(service.id(), &service.addresses, service.transport);
             openings.set_service(service);
         }
-        let service_addresses = match options.ingress {
-            Ingress::Socket => addresses_of(&options.services),
-            Ingress::Encapsulated { .. } => Vec::new(),
-        };
-        let workers = bind_workers(options.data_address, &service_addresses).await?;
-        let data_address = workers[0].data_address();
+        let data = bind_shared(options.data_address, MAX_WORKERS)
+            .await
+            .map_err(|source| {
+                let address = options.data_address;
+                BalancerError::Bind { address, source }
+            })?;
+        let data_address = data[0].local_address();
         let shared = Arc::new(Shared {
             table: RwLock::new(table),
             openings: Mutex::new(openings),
@@ -156,13 +153,21 @@
             packets_replied: AtomicU64::new(0),
             packets_dropped: AtomicU64::new(0),
             stop: CancellationToken::new(),
+            services_changed: Notify::new(),
             is_killed: AtomicBool::new(false),
         });
         let tasks = TaskTracker::new();
-        for sockets in workers.into_iter().map(Arc::new) {
-            for position in 0..=sockets.services.len() {
-                let shared = Arc::clone(&shared);
-                tasks.spawn(forward::run(shared, Arc::clone(&sockets), position));
+        let context = SocketContext {
+            shared: Arc::clone(&shared),
+            data,
+            sockets: Arc::new(ServiceSockets::default()),
+            tasks: tasks.clone(),
+        };
+        context.spawn_data_workers();
+        if options.ingress == Ingress::Socket {
+            for address in addresses_of(&options.services) {
+                let opened = context.open(address).await;
+                opened.map_err(|source| BalancerError::Bind { address, source })?;
             }
         }
         let identity = BalancerIdentity {
@@ -182,6 +187,9 @@
             received,
         );
         tasks.spawn(plane.run(options.peers));
+        if options.ingress == Ingress::Socket {
+            tasks.spawn(context.follow(ControlHandle::new(commands.clone())));
+        }
         log::info!(
             "balancer: Node {} forwards at {data_address}.",
             NodeId::of_address(control_address)
@@ -265,49 +273,6 @@
     addresses
 }
 
-/// Binds the sockets of all workers.
-async fn bind_workers(
-    data_address: SocketAddr,
-    service_addresses: &[SocketAddr],
-) -> Result<Vec<WorkerSockets>, BalancerError> {
-    // Sockets of workers share their address with any process of the user, so only a socket that
-    // does not share finds out that another process has the address.
-    for address in service_addresses.iter().chain([&data_address]) {
-        drop(bind(*address).await?);
-    }
-    let count = if service_addresses.len() > MAX_SHARED_ADDRESSES {
-        1
-    } else {
-        std::thread::available_parallelism().map_or(1, |count| count.get().min(MAX_WORKERS))
-    };
-    let mut workers: Vec<WorkerSockets> = Vec::new();
-    for _ in 0..count {
-        let data_address = workers
-            .first()
-            .map_or(data_address, WorkerSockets::data_address);
-        let bind = |address| {
-            bind_shared(address).map_err(|source| BalancerError::Bind { address, source })
-        };
-        let mut services = Vec::new();
-        for address in service_addresses {
-            services.push((*address, bind(*address)?));
-        }
-        let data = bind(data_address)?;
-        workers.push(WorkerSockets { data, services });
-    }
-    Ok(workers)
-}
-
-/// Binds a socket whose address other workers bind too.
-fn bind_shared(address: SocketAddr) -> std::io::Result<BatchSocket> {
-    let domain = socket2::Domain::for_address(address);
-    let socket = socket2::Socket::new(domain, socket2::Type::DGRAM, None)?;
-    socket.set_reuse_port(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    BatchSocket::new(UdpSocket::from_std(socket.into())?)
-}
-
 async fn bind(address: SocketAddr) -> Result<UdpSocket, BalancerError> {
     UdpSocket::bind(address)
         .await
--- a/crates/balancer/src/batch.rs
+++ b/crates/balancer/src/batch.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, IoSliceMut};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use hawthorntide_types::ResultCode;
 use hawthorntide_wire::{ForwardHeader, HEADER_BYTES};
@@ -9,6 +10,9 @@
 use tokio::io::Interest;
 use tokio::net::UdpSocket;
 
+/// Most workers that receive packets at one address.
+pub(crate) const MAX_WORKERS: usize = 4;
+
 /// Datagrams that one call receives.
 const BATCH: usize = 32;
 
@@ -78,8 +82,32 @@
 #[derive(Default)]
 pub(crate) struct Drops(Vec<(ResultCode, u64)>);
 
+/// Binds one socket for each worker, at most `max_workers`, to `address`; the system spreads the
+/// senders among them.
+pub(crate) async fn bind_shared(
+    address: SocketAddr,
+    max_workers: usize,
+) -> io::Result<Vec<Arc<BatchSocket>>> {
+    // Sockets of workers share their address with any process of the user, so only a socket that
+    // does not share finds out that another process has the address.
+    drop(UdpSocket::bind(address).await?);
+    let mut sockets: Vec<Arc<BatchSocket>> = Vec::new();
+    let count = std::thread::available_parallelism().map_or(1, usize::from);
+    for _ in 0..count.min(max_workers) {
+        let address = sockets.first().map_or(address, |first| first.local_address);
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::DGRAM, None)?;
+        socket.set_reuse_port(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        let socket = UdpSocket::from_std(socket.into())?;
+        sockets.push(Arc::new(BatchSocket::new(socket)?));
+    }
+    Ok(sockets)
+}
+
 impl BatchSocket {
-    pub(crate) fn new(io: UdpSocket) -> io::Result<Self> {
+    fn new(io: UdpSocket) -> io::Result<Self> {
         let state = UdpSocketState::new(UdpSockRef::from(&io))?;
         state.set_recv_buffer_size(UdpSockRef::from(&io), SOCKET_BUFFER_BYTES)?;
         state.set_send_buffer_size(UdpSockRef::from(&io), SOCKET_BUFFER_BYTES)?;
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -40,6 +40,8 @@
         wait_ms: DurationMs,
         reply: oneshot::Sender<ConfirmReport>,
     },
+    /// Try more addresses of balancers.
+    AddPeers(Vec<SocketAddr>),
     /// Return the view of the members.
     View(oneshot::Sender<MembershipView>),
     /// Return the objects that are not deleted.
@@ -105,6 +107,11 @@
         report.await.ok()
     }
 
+    /// Tries more control addresses at which balancers may be up.
+    pub async fn add_peers(&self, peers: Vec<SocketAddr>) {
+        self.send(Command::AddPeers(peers)).await;
+    }
+
     /// Returns the members that the balancer knows; `None` when it has stopped.
     pub async fn view(&self) -> Option<MembershipView> {
         let (reply, view) = oneshot::channel();
@@ -237,6 +244,7 @@
                 };
                 self.handle(event).await;
             }
+            Command::AddPeers(peers) => self.handle(GossipEvent::SeedPeers(peers)).await,
             Command::View(reply) => {
                 let view = MembershipView {
                     balancers: self.machine.balancers().cloned().collect(),
@@ -348,6 +356,7 @@
         .unwrap_or_else(PoisonError::into_inner)
         .set_service(service.id(), &service.addresses, service.transport);
     openings(shared).set_service(service);
+    shared.services_changed.notify_one();
 }
 
 fn remove_service(shared: &Shared, object: &Object) {
@@ -361,6 +370,7 @@
         .unwrap_or_else(PoisonError::into_inner)
         .remove_service(id);
     openings(shared).remove_service(id);
+    shared.services_changed.notify_one();
 }
 
 fn openings(shared: &Shared) -> MutexGuard<'_, Openings> {
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -8,19 +8,36 @@
 use hawthorntide_routing::{ConnectionIdCodec, FlowKey, Route, RoutingTable};
 use hawthorntide_types::{ResultCode, ServiceId, TimeMs, Transport};
 use hawthorntide_wire::{ForwardHeader, ForwardKind};
+use tokio_util::sync::CancellationToken;
 
 use crate::balancer::{Ingress, Shared};
-use crate::batch::{BatchSocket, Drops, Outgoing, Range, Received, Sending, Sent};
+use crate::batch::{BatchSocket, Drops, Outgoing, Range, Received, Sending};
 use crate::codec::TaskCodec;
+use crate::service_sockets::{ServiceSocket, ServiceSockets};
 
-/// Position of the data socket among the sockets of a worker.
+/// Position of the data socket; those of the service addresses follow in their order.
 const DATA: usize = 0;
 
-/// Sockets of one worker: the data socket, then those of the service addresses in ascending order.
+/// Who sends to a socket.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Source {
+    /// Agents, and a fabric that encapsulates.
+    Data,
+    /// Callers, at this service address.
+    Callers(SocketAddr),
+}
+
+/// One socket that packets arrive at, and what it takes to forward them.
 #[derive(Debug)]
-pub(crate) struct WorkerSockets {
-    pub(crate) data: BatchSocket,
-    pub(crate) services: Vec<(SocketAddr, BatchSocket)>,
+pub(crate) struct Receiver {
+    pub(crate) shared: Arc<Shared>,
+    /// Socket from which packets go to agents.
+    pub(crate) data: Arc<BatchSocket>,
+    pub(crate) sockets: Arc<ServiceSockets>,
+    pub(crate) socket: Arc<BatchSocket>,
+    /// Position of the worker among those of the socket's address.
+    pub(crate) worker: usize,
+    pub(crate) source: Source,
 }
 
 /// Space of one thread; all tasks of the thread use it, because none waits while it does.
@@ -38,98 +55,77 @@
     });
 }
 
-impl WorkerSockets {
-    pub(crate) const fn data_address(&self) -> SocketAddr {
-        self.data.local_address()
-    }
-
-    fn get(&self, position: usize) -> &BatchSocket {
-        match position.checked_sub(1) {
-            None => &self.data,
-            Some(index) => &self.services[index].1,
-        }
-    }
-
-    fn service_position(&self, address: SocketAddr) -> Option<usize> {
-        let index = self
-            .services
-            .binary_search_by_key(&address, |entry| entry.0);
-        index.ok().map(|index| index + 1)
-    }
-}
-
-/// Forwards what arrives at one socket until the balancer stops.
-pub(crate) async fn run(shared: Arc<Shared>, sockets: Arc<WorkerSockets>, position: usize) {
-    let socket = sockets.get(position);
-    let mut codec = TaskCodec::new(shared.codec.subscribe());
-    loop {
-        tokio::select! {
-            () = shared.stop.cancelled() => return,
-            ready = socket.readable() => {
-                if ready.is_err() {
-                    return;
+impl Receiver {
+    /// Forwards what arrives until `stop` is cancelled.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        let mut codec = TaskCodec::new(self.shared.codec.subscribe());
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                ready = self.socket.readable() => {
+                    if ready.is_err() {
+                        return;
+                    }
                 }
             }
+            SPACE.with_borrow_mut(|space| {
+                if self.socket.receive(&mut space.received) {
+                    self.forward_batch(codec.current(), space);
+                }
+            });
         }
-        SPACE.with_borrow_mut(|space| {
-            if socket.receive(&mut space.received) {
-                let worker = Worker {
-                    shared: &shared,
-                    sockets: &sockets,
-                    codec: codec.current(),
-                    now: shared.now(),
-                };
-                worker.forward_batch(position, space);
-            }
+    }
+
+    fn forward_batch(&self, codec: &ConnectionIdCodec, space: &mut Space) {
+        let services = self.sockets.read();
+        let worker = Worker {
+            shared: &self.shared,
+            services: &services,
+            codec,
+            now: self.shared.now(),
+        };
+        worker.decide(self.source, space);
+        let sent = space.sending.flush(&space.received, |position| {
+            let service = position.checked_sub(1).map(|index| &services[index]);
+            service.map_or(&*self.data, |service| service.of_worker(self.worker))
         });
+        space.drops.add(ResultCode::Failure, sent.failed);
+        let Shared {
+            packets_forwarded,
+            packets_replied,
+            packets_dropped,
+            ..
+        } = &*self.shared;
+        packets_forwarded.fetch_add(sent.forwarded, Ordering::Relaxed);
+        packets_replied.fetch_add(sent.replied, Ordering::Relaxed);
+        packets_dropped.fetch_add(space.drops.report(), Ordering::Relaxed);
     }
 }
 
 /// What the decisions about one batch have in common.
 struct Worker<'a> {
     shared: &'a Shared,
-    sockets: &'a WorkerSockets,
+    services: &'a [ServiceSocket],
     codec: &'a ConnectionIdCodec,
     now: TimeMs,
 }
 
 impl Worker<'_> {
-    /// Decides about a batch under one lock of the table, and sends it after the lock is released.
-    fn forward_batch(&self, position: usize, space: &mut Space) {
-        let Space {
-            received,
-            sending,
-            drops,
-        } = space;
-        let (shared, sockets) = (self.shared, self.sockets);
-        {
-            let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
-            for (from, range) in received.datagrams() {
-                let datagram = received.bytes(range);
-                let decision = match position.checked_sub(1) {
-                    None => self.unwrap(&table, from, datagram, range),
-                    Some(index) => {
-                        let service_address = sockets.services[index].0;
-                        self.forward(&table, from, service_address, datagram, range)
-                    }
-                };
-                match decision {
-                    Ok(outgoing) => sending.push(outgoing),
-                    Err(code) => drops.add(code, 1),
-                }
+    /// Decides about a batch under one lock of the table.
+    fn decide(&self, source: Source, space: &mut Space) {
+        let table = self.shared.table.read();
+        let table = table.unwrap_or_else(PoisonError::into_inner);
+        for (from, range) in space.received.datagrams() {
+            let datagram = space.received.bytes(range);
+            let decision = match source {
+                Source::Data => self.unwrap(&table, from, datagram, range),
+                Source::Callers(address) => self.forward(&table, from, address, datagram, range),
+            };
+            match decision {
+                Ok(outgoing) => space.sending.push(outgoing),
+                Err(code) => space.drops.add(code, 1),
             }
         }
-        let sent = sending.flush(received, |position| sockets.get(position));
-        drops.add(ResultCode::Failure, sent.failed);
-        let Sent {
-            forwarded, replied, ..
-        } = sent;
-        shared
-            .packets_forwarded
-            .fetch_add(forwarded, Ordering::Relaxed);
-        shared.packets_replied.fetch_add(replied, Ordering::Relaxed);
-        let dropped = drops.report();
-        shared.packets_dropped.fetch_add(dropped, Ordering::Relaxed);
     }
 
     /// Decides about a wrapped packet of an agent or of an encapsulating fabric.
@@ -225,8 +221,11 @@
         let (socket, to, header) = match self.shared.ingress {
             Ingress::Encapsulated { fabric_address } => (DATA, fabric_address, Some(header)),
             Ingress::Socket => {
-                let position = self.sockets.service_position(header.service_address);
-                let position = position.ok_or(ResultCode::SourceUnknown)?;
+                let address = header.service_address;
+                let index = self
+                    .services
+                    .binary_search_by_key(&address, |service| service.address);
+                let position = index.map_err(|_| ResultCode::SourceUnknown)? + 1;
                 (position, header.caller, None)
             }
         };
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod openings;
 mod operations;
+mod service_sockets;
 mod store_link;
 
 pub use balancer::{Balancer, BalancerError, BalancerOptions, BalancerReport, Ingress};
--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -32,6 +32,10 @@
 const PAUSE_MS: u64 = 1000;
 /// Longest wait for the store when the slot is given up.
 const RELEASE_TIME: Duration = Duration::from_secs(1);
+/// Time in which another balancer has to be found at the start before the store is read.
+const PEER_TIME: Duration = Duration::from_secs(1);
+/// Interval at which other balancers are looked for at the start.
+const PEER_POLL: Duration = Duration::from_millis(100);
 /// Answers of the store that wait for the machine.
 const MAX_ANSWERS: usize = 16;
 
@@ -72,9 +76,12 @@
         }
     }
 
-    /// Reads the configuration once and then takes part in watching until the stop.
+    /// Reads the configuration if no other balancer can tell it, and then takes part in watching
+    /// until the stop.
     pub async fn run(self) {
-        if let Err(error) = load(&self.store, &self.control).await {
+        if !self.has_peers().await
+            && let Err(error) = load(&self.store, &self.control).await
+        {
             log::warn!("platform: Configuration not read at the start: {error}.");
         }
         let machine = WatcherMachine::new(self.node, self.failure_domain.clone(), rand::random());
@@ -88,6 +95,20 @@
         };
         run.run(received).await;
     }
+
+    /// Waits a moment for other balancers. They tell the configuration, so that a restart of the
+    /// whole fleet does not become as many lists of the store.
+    async fn has_peers(&self) -> bool {
+        let end = Instant::now() + PEER_TIME;
+        while Instant::now() < end {
+            let view = self.control.view().await;
+            if view.is_some_and(|view| view.balancers.len() > 1) {
+                return true;
+            }
+            sleep(PEER_POLL).await;
+        }
+        false
+    }
 }
 
 impl Run {
@@ -254,11 +275,16 @@
     Ok(watched.revision)
 }
 
-/// Spreads profiles and services; slots and directories concern the store's readers only.
+/// Spreads profiles and services, and tries the balancers that watcher slots name.
 async fn apply(control: &ControlHandle, objects: Vec<StoredObject>) {
     for object in objects {
         if matches!(object.key.kind, ObjectKind::Profile | ObjectKind::Service) {
             control.apply_object(replica_object(object)).await;
+        } else if let SlotRead::Found(SlotState {
+            value: Some(value), ..
+        }) = slot_read(object)
+        {
+            control.add_peers(value.peers).await;
         }
     }
 }
