--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -16,8 +16,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::batch::{MAX_WORKERS, bind_shared};
 use crate::control::{Command, ControlHandle, ControlPlane, MAX_COMMANDS};
-use crate::forward;
+use crate::openings::Openings;
 use crate::service_sockets::{ServiceSockets, SocketContext};
 
 /// Time without packets after which a draining balancer ends.
@@ -94,10 +95,12 @@
     pub packets_dropped: u64,
 }
 
-/// State that the tasks of one balancer share.
+/// State that the tasks of one balancer share; locks are taken in the order of the service
+/// sockets, `table`, `openings`.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) table: RwLock<RoutingTable>,
+    pub(crate) openings: Mutex<Openings>,
     pub(crate) codec: watch::Sender<ConnectionIdCodec>,
     pub(crate) ingress: Ingress,
     pub(crate) started: tokio::time::Instant,
@@ -130,16 +133,24 @@
 impl Balancer {
     /// Binds the sockets and starts the tasks of a balancer.
     pub async fn spawn(options: BalancerOptions) -> Result<Self, BalancerError> {
-        let data = Arc::new(bind(options.data_address).await?);
         let control = bind(options.control_address).await?;
-        let data_address = local_address(&data, options.data_address)?;
         let control_address = local_address(&control, options.control_address)?;
         let mut table = RoutingTable::new();
+        let mut openings = Openings::new();
         for service in &options.services {
             table.set_service(service.id(), &service.addresses, service.transport);
+            openings.set_service(service);
         }
+        let data = bind_shared(options.data_address, MAX_WORKERS)
+            .await
+            .map_err(|source| {
+                let address = options.data_address;
+                BalancerError::Bind { address, source }
+            })?;
+        let data_address = data[0].local_address();
         let shared = Arc::new(Shared {
             table: RwLock::new(table),
+            openings: Mutex::new(openings),
             codec: watch::Sender::new(ConnectionIdCodec::new(options.keys)),
             ingress: options.ingress,
             started: tokio::time::Instant::now(),
@@ -151,29 +162,19 @@
             is_killed: AtomicBool::new(false),
         });
         let tasks = TaskTracker::new();
-        let sockets = Arc::new(ServiceSockets::default());
         let context = SocketContext {
             shared: Arc::clone(&shared),
-            data: Arc::clone(&data),
-            sockets: Arc::clone(&sockets),
+            data,
+            sockets: Arc::new(ServiceSockets::default()),
             tasks: tasks.clone(),
         };
+        context.spawn_data_workers();
         if options.ingress == Ingress::Socket {
-            for service in &options.services {
-                for address in &service.addresses {
-                    let opened = context.open(*address).await;
-                    opened.map_err(|source| BalancerError::Bind {
-                        address: *address,
-                        source,
-                    })?;
-                }
+            for address in addresses_of(&options.services) {
+                let opened = context.open(address).await;
+                opened.map_err(|source| BalancerError::Bind { address, source })?;
             }
         }
-        tasks.spawn(forward::from_data_socket(
-            Arc::clone(&shared),
-            data,
-            sockets,
-        ));
         let identity = BalancerIdentity {
             incarnation: options.incarnation,
             control_address,
@@ -268,6 +269,15 @@
     }
 }
 
+/// Returns the addresses of all services in ascending order.
+fn addresses_of(services: &[Service]) -> Vec<SocketAddr> {
+    let addresses = services.iter().flat_map(|service| &service.addresses);
+    let mut addresses: Vec<_> = addresses.copied().collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
+
 async fn bind(address: SocketAddr) -> Result<UdpSocket, BalancerError> {
     let bind_error = |source| BalancerError::Bind { address, source };
     let socket = UdpSocket::bind(address).await.map_err(bind_error)?;
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -1,170 +1,243 @@
 //! Packet path between callers and agents.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
-use hawthorntide_routing::{ConnectionIdCodec, Route};
-use hawthorntide_types::{ResultCode, ServiceId};
-use hawthorntide_wire::{ForwardHeader, ForwardKind, HEADER_BYTES};
-use tokio::net::UdpSocket;
+use hawthorntide_routing::{ConnectionIdCodec, FlowKey, Route, RoutingTable};
+use hawthorntide_types::{ResultCode, ServiceId, TimeMs, Transport};
+use hawthorntide_wire::{ForwardHeader, ForwardKind};
 use tokio_util::sync::CancellationToken;
 
 use crate::balancer::{Ingress, Shared};
+use crate::batch::{BatchSocket, Drops, Outgoing, Range, Received, Sending};
 use crate::codec::TaskCodec;
-use crate::service_sockets::ServiceSockets;
-
-/// Largest datagram that is received.
-const MAX_DATAGRAM_BYTES: usize = 2048;
-
-/// Forwards packets that arrive at a service address.
-pub(crate) async fn from_callers(
-    shared: Arc<Shared>,
-    service_address: SocketAddr,
-    socket: Arc<UdpSocket>,
-    data: Arc<UdpSocket>,
-    stop: CancellationToken,
-) {
-    let mut codec = TaskCodec::new(shared.codec.subscribe());
-    let mut buffer = [0; MAX_DATAGRAM_BYTES];
-    loop {
-        let received = tokio::select! {
-            () = stop.cancelled() => return,
-            received = socket.recv_from(&mut buffer[HEADER_BYTES..]) => received,
-        };
-        // An ICMP answer to an earlier packet surfaces here and concerns no later packet.
-        let Ok((length, caller)) = received else {
-            continue;
-        };
-        let datagram = &mut buffer[..HEADER_BYTES + length];
-        let codec = codec.current();
-        forward(&shared, codec, caller, service_address, datagram, &data).await;
-    }
+use crate::service_sockets::{ServiceSocket, ServiceSockets};
+
+/// Position of the data socket; those of the service addresses follow in their order.
+const DATA: usize = 0;
+
+/// Who sends to a socket.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Source {
+    /// Agents, and a fabric that encapsulates.
+    Data,
+    /// Callers, at this service address.
+    Callers(SocketAddr),
 }
 
-/// Handles packets of agents and of an encapsulating fabric.
-pub(crate) async fn from_data_socket(
-    shared: Arc<Shared>,
-    data: Arc<UdpSocket>,
-    sockets: Arc<ServiceSockets>,
-) {
-    let mut codec = TaskCodec::new(shared.codec.subscribe());
-    let mut buffer = [0; MAX_DATAGRAM_BYTES];
-    loop {
-        let received = tokio::select! {
-            () = shared.stop.cancelled() => return,
-            received = data.recv_from(&mut buffer) => received,
-        };
-        let Ok((length, from)) = received else {
-            continue;
-        };
-        let datagram = &mut buffer[..length];
-        let Ok((header, _)) = ForwardHeader::read(datagram) else {
-            drop_packet(&shared, ResultCode::PacketMalformed);
-            continue;
-        };
-        match header.kind {
-            ForwardKind::Ingress if is_fabric(&shared, from) => {
-                forward(
-                    &shared,
-                    codec.current(),
-                    header.caller,
-                    header.service_address,
-                    datagram,
-                    &data,
-                )
-                .await;
-            }
-            ForwardKind::Reply => {
-                reply(&shared, from, header, datagram, &data, &sockets).await;
+/// One socket that packets arrive at, and what it takes to forward them.
+#[derive(Debug)]
+pub(crate) struct Receiver {
+    pub(crate) shared: Arc<Shared>,
+    /// Socket from which packets go to agents.
+    pub(crate) data: Arc<BatchSocket>,
+    pub(crate) sockets: Arc<ServiceSockets>,
+    pub(crate) socket: Arc<BatchSocket>,
+    /// Position of the worker among those of the socket's address.
+    pub(crate) worker: usize,
+    pub(crate) source: Source,
+}
+
+/// Space of one thread; all tasks of the thread use it, because none waits while it does.
+struct Space {
+    received: Received,
+    sending: Sending,
+    drops: Drops,
+}
+
+thread_local! {
+    static SPACE: RefCell<Space> = RefCell::new(Space {
+        received: Received::new(),
+        sending: Sending::default(),
+        drops: Drops::default(),
+    });
+}
+
+impl Receiver {
+    /// Forwards what arrives until `stop` is cancelled.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        let mut codec = TaskCodec::new(self.shared.codec.subscribe());
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                ready = self.socket.readable() => {
+                    if ready.is_err() {
+                        return;
+                    }
+                }
             }
-            _ => drop_packet(&shared, ResultCode::SourceUnknown),
+            SPACE.with_borrow_mut(|space| {
+                if self.socket.receive(&mut space.received) {
+                    self.forward_batch(codec.current(), space);
+                }
+            });
+            // A socket that stays readable under a flood must not keep other tasks from the thread.
+            tokio::task::yield_now().await;
         }
     }
+
+    fn forward_batch(&self, codec: &ConnectionIdCodec, space: &mut Space) {
+        let services = self.sockets.read();
+        let worker = Worker {
+            shared: &self.shared,
+            services: &services,
+            codec,
+            now: self.shared.now(),
+        };
+        worker.decide(self.source, space);
+        let sent = space.sending.flush(&space.received, |position| {
+            let service = position.checked_sub(1).map(|index| &services[index]);
+            service.map_or(&*self.data, |service| service.of_worker(self.worker))
+        });
+        space.drops.add(ResultCode::Failure, sent.failed);
+        let Shared {
+            packets_forwarded,
+            packets_replied,
+            packets_dropped,
+            ..
+        } = &*self.shared;
+        packets_forwarded.fetch_add(sent.forwarded, Ordering::Relaxed);
+        packets_replied.fetch_add(sent.replied, Ordering::Relaxed);
+        packets_dropped.fetch_add(space.drops.report(), Ordering::Relaxed);
+    }
 }
 
-fn is_fabric(shared: &Shared, from: SocketAddr) -> bool {
-    matches!(shared.ingress, Ingress::Encapsulated { fabric_address } if fabric_address == from)
+/// What the decisions about one batch have in common.
+struct Worker<'a> {
+    shared: &'a Shared,
+    services: &'a [ServiceSocket],
+    codec: &'a ConnectionIdCodec,
+    now: TimeMs,
 }
 
-/// Sends a caller's packet to the agent that the routing table names.
-async fn forward(
-    shared: &Shared,
-    codec: &ConnectionIdCodec,
-    caller: SocketAddr,
-    service_address: SocketAddr,
-    datagram: &mut [u8],
-    data: &UdpSocket,
-) {
-    let (service, to, kind) =
-        match decide(shared, codec, service_address, &datagram[HEADER_BYTES..]) {
-            Ok(decision) => decision,
-            Err(code) => return drop_packet(shared, code),
-        };
-    let header = ForwardHeader {
-        kind,
-        hops: 0,
-        service,
-        caller,
-        service_address,
-    };
-    header.write(datagram);
-    if data.send_to(datagram, to).await.is_ok() {
-        shared.packets_forwarded.fetch_add(1, Ordering::Relaxed);
+impl Worker<'_> {
+    /// Decides about a batch under one lock of the table.
+    fn decide(&self, source: Source, space: &mut Space) {
+        let table = self.shared.table.read();
+        let table = table.unwrap_or_else(PoisonError::into_inner);
+        for (from, range) in space.received.datagrams() {
+            let datagram = space.received.bytes(range);
+            let decision = match source {
+                Source::Data => self.unwrap(&table, from, datagram, range),
+                Source::Callers(address) => self.forward(&table, from, address, datagram, range),
+            };
+            match decision {
+                Ok(outgoing) => space.sending.push(outgoing),
+                Err(code) => space.drops.add(code, 1),
+            }
+        }
     }
-}
 
-fn decide(
-    shared: &Shared,
-    codec: &ConnectionIdCodec,
-    service_address: SocketAddr,
-    packet: &[u8],
-) -> Result<(ServiceId, SocketAddr, ForwardKind), ResultCode> {
-    let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
-    let Some(service) = table.service_of(service_address) else {
-        return Err(ResultCode::SourceUnknown);
-    };
-    match table.route(shared.now(), service, packet, codec) {
-        Route::Forward { to, kind } => Ok((service, to, kind)),
-        Route::Drop(code) => Err(code),
+    /// Decides about a wrapped packet of an agent or of an encapsulating fabric.
+    fn unwrap(
+        &self,
+        table: &RoutingTable,
+        from: SocketAddr,
+        datagram: &[u8],
+        range: Range,
+    ) -> Result<Outgoing, ResultCode> {
+        let (header, packet) = ForwardHeader::read(datagram)?;
+        let range = range.without_header();
+        match header.kind {
+            ForwardKind::Ingress if self.is_fabric(from) => {
+                self.forward(table, header.caller, header.service_address, packet, range)
+            }
+            ForwardKind::Reply => self.reply(table, from, header, range),
+            _ => Err(ResultCode::SourceUnknown),
+        }
     }
-}
 
-/// Sends an agent's packet to the caller from the service address.
-async fn reply(
-    shared: &Shared,
-    from: SocketAddr,
-    header: ForwardHeader,
-    datagram: &[u8],
-    data: &UdpSocket,
-    sockets: &ServiceSockets,
-) {
-    let is_member = {
-        let table = shared.table.read().unwrap_or_else(PoisonError::into_inner);
-        table.is_endpoint_of(header.service, from)
-            && table.service_of(header.service_address) == Some(header.service)
-    };
-    if !is_member {
-        return drop_packet(shared, ResultCode::SourceUnknown);
+    fn is_fabric(&self, from: SocketAddr) -> bool {
+        matches!(
+            self.shared.ingress,
+            Ingress::Encapsulated { fabric_address } if fabric_address == from
+        )
     }
-    let sent = match shared.ingress {
-        Ingress::Encapsulated { fabric_address } => data.send_to(datagram, fabric_address).await,
-        Ingress::Socket => {
-            let Some(socket) = sockets.find(header.service_address) else {
-                return drop_packet(shared, ResultCode::SourceUnknown);
+
+    /// Decides about a caller's packet.
+    fn forward(
+        &self,
+        table: &RoutingTable,
+        caller: SocketAddr,
+        service_address: SocketAddr,
+        packet: &[u8],
+        range: Range,
+    ) -> Result<Outgoing, ResultCode> {
+        let Some(service) = table.service_of(service_address) else {
+            return Err(ResultCode::SourceUnknown);
+        };
+        let route = if table.transport_of(service) == Some(Transport::Udp) {
+            let flow = FlowKey {
+                caller,
+                service_address,
             };
-            socket
-                .send_to(&datagram[HEADER_BYTES..], header.caller)
-                .await
+            table.route_opaque(service, &flow)
+        } else {
+            table.route(self.now, service, packet, self.codec)
+        };
+        let (to, kind) = match route {
+            Route::Forward { to, kind } => (to, kind),
+            Route::Drop(code) => return Err(code),
+        };
+        if kind == ForwardKind::Opening {
+            self.admit(service)?;
         }
-    };
-    if sent.is_ok() {
-        shared.packets_replied.fetch_add(1, Ordering::Relaxed);
+        let header = ForwardHeader {
+            kind,
+            hops: 0,
+            service,
+            caller,
+            service_address,
+        };
+        Ok(Outgoing {
+            socket: DATA,
+            to,
+            is_opening: kind == ForwardKind::Opening,
+            is_reply: false,
+            header: Some(header),
+            packet: range,
+        })
+    }
+
+    fn admit(&self, service: ServiceId) -> Result<(), ResultCode> {
+        let openings = self.shared.openings.lock();
+        let mut openings = openings.unwrap_or_else(PoisonError::into_inner);
+        openings.admit(self.now, service)
     }
-}
 
-fn drop_packet(shared: &Shared, code: ResultCode) {
-    shared.packets_dropped.fetch_add(1, Ordering::Relaxed);
-    metrics::counter!("hawthorntide_balancer_packets_dropped_total", "code" => code.name())
-        .increment(1);
+    /// Decides about an agent's packet, which leaves from the service address.
+    fn reply(
+        &self,
+        table: &RoutingTable,
+        from: SocketAddr,
+        header: ForwardHeader,
+        range: Range,
+    ) -> Result<Outgoing, ResultCode> {
+        let is_member = table.is_endpoint_of(header.service, from)
+            && table.service_of(header.service_address) == Some(header.service);
+        if !is_member {
+            return Err(ResultCode::SourceUnknown);
+        }
+        let (socket, to, header) = match self.shared.ingress {
+            Ingress::Encapsulated { fabric_address } => (DATA, fabric_address, Some(header)),
+            Ingress::Socket => {
+                let address = header.service_address;
+                let index = self
+                    .services
+                    .binary_search_by_key(&address, |service| service.address);
+                let position = index.map_err(|_| ResultCode::SourceUnknown)? + 1;
+                (position, header.caller, None)
+            }
+        };
+        Ok(Outgoing {
+            socket,
+            to,
+            is_opening: false,
+            is_reply: true,
+            header,
+            packet: range,
+        })
+    }
 }
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,9 +1,11 @@
 //! Balancer process: packet path and control plane.
 
 mod balancer;
+mod batch;
 mod codec;
 mod control;
 mod forward;
+mod openings;
 mod operations;
 mod service_sockets;
 mod store_link;
--- a/crates/balancer/src/service_sockets.rs
+++ b/crates/balancer/src/service_sockets.rs
@@ -1,28 +1,32 @@
 //! Sockets at the service addresses; they follow the services while the balancer runs.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
 use hawthorntide_configuration::SERVICE_KIND;
 use hawthorntide_types::Service;
-use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::balancer::Shared;
+use crate::batch::{BatchSocket, MAX_WORKERS, bind_shared};
 use crate::control::ControlHandle;
-use crate::forward;
+use crate::forward::{Receiver, Source};
 
 /// Time after which an address that could not be bound is tried again.
 const RETRY: Duration = Duration::from_secs(5);
 
-/// Bound socket; its task ends with the token.
+/// Service addresses with a socket for each worker; further ones have one socket, so that the design
+/// size stays within usual limits on descriptors.
+const MAX_SHARED_ADDRESSES: usize = 64;
+
+/// Bound sockets of one address, one for each worker; their tasks end with the token.
 #[derive(Debug)]
-struct ServiceSocket {
-    address: SocketAddr,
-    socket: Arc<UdpSocket>,
+pub(crate) struct ServiceSocket {
+    pub(crate) address: SocketAddr,
+    workers: Vec<Arc<BatchSocket>>,
     stop: CancellationToken,
 }
 
@@ -36,17 +40,29 @@
 #[derive(Clone, Debug)]
 pub(crate) struct SocketContext {
     pub(crate) shared: Arc<Shared>,
-    pub(crate) data: Arc<UdpSocket>,
+    /// Data sockets, one for each worker.
+    pub(crate) data: Vec<Arc<BatchSocket>>,
     pub(crate) sockets: Arc<ServiceSockets>,
     pub(crate) tasks: TaskTracker,
 }
 
+impl ServiceSocket {
+    /// Returns the socket from which `worker` sends replies.
+    pub(crate) fn of_worker(&self, worker: usize) -> &BatchSocket {
+        &self.workers[worker % self.workers.len()]
+    }
+}
+
 impl ServiceSockets {
-    /// Returns the socket that is bound to `address`.
-    pub(crate) fn find(&self, address: SocketAddr) -> Option<Arc<UdpSocket>> {
-        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
-        let index = entries.binary_search_by_key(&address, |entry| entry.address);
-        Some(Arc::clone(&entries.get(index.ok()?)?.socket))
+    /// Returns the sockets in ascending order of addresses.
+    pub(crate) fn read(&self) -> RwLockReadGuard<'_, Vec<ServiceSocket>> {
+        self.entries.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_bound(&self, address: SocketAddr) -> bool {
+        let entries = self.read();
+        let found = entries.binary_search_by_key(&address, |entry| entry.address);
+        found.is_ok()
     }
 
     fn insert(&self, entry: ServiceSocket) {
@@ -73,24 +89,51 @@
 impl SocketContext {
     /// Binds `address` and forwards what arrives there.
     pub(crate) async fn open(&self, address: SocketAddr) -> std::io::Result<()> {
-        let socket = Arc::new(UdpSocket::bind(address).await?);
+        let max_workers = if self.sockets.read().len() < MAX_SHARED_ADDRESSES {
+            MAX_WORKERS
+        } else {
+            1
+        };
+        let workers = bind_shared(address, max_workers).await?;
         let stop = self.shared.stop.child_token();
+        for (worker, socket) in workers.iter().enumerate() {
+            let source = Source::Callers(address);
+            self.spawn(worker, Arc::clone(socket), source, stop.clone());
+        }
         self.sockets.insert(ServiceSocket {
             address,
-            socket: Arc::clone(&socket),
-            stop: stop.clone(),
-        });
-        let run = forward::from_callers(
-            Arc::clone(&self.shared),
-            address,
-            socket,
-            Arc::clone(&self.data),
+            workers,
             stop,
-        );
-        self.tasks.spawn(run);
+        });
         Ok(())
     }
 
+    /// Forwards what arrives at the data sockets.
+    pub(crate) fn spawn_data_workers(&self) {
+        for (worker, socket) in self.data.iter().enumerate() {
+            let stop = self.shared.stop.clone();
+            self.spawn(worker, Arc::clone(socket), Source::Data, stop);
+        }
+    }
+
+    fn spawn(
+        &self,
+        worker: usize,
+        socket: Arc<BatchSocket>,
+        source: Source,
+        stop: CancellationToken,
+    ) {
+        let receiver = Receiver {
+            shared: Arc::clone(&self.shared),
+            data: Arc::clone(&self.data[worker]),
+            sockets: Arc::clone(&self.sockets),
+            socket,
+            worker,
+            source,
+        };
+        self.tasks.spawn(receiver.run(stop));
+    }
+
     /// Binds and closes addresses as services change, until the balancer stops.
     pub(crate) async fn follow(self, control: ControlHandle) {
         let stop = self.shared.stop.clone();
@@ -124,7 +167,7 @@
     async fn update(&self, wanted: &[SocketAddr]) -> bool {
         let mut is_complete = true;
         for address in wanted {
-            if self.sockets.find(*address).is_some() {
+            if self.sockets.is_bound(*address) {
                 continue;
             }
             match self.open(*address).await {
