Record the events of balancers in the time line and measure control bytes

The time line of a balancer held its start and drain only, and a trial could not tell the control traffic of its balancers. A balancer now records changed members, applied objects, alarms and operators' changes with endpoint and version; a trial merges the time lines of all balancers into its own.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -8,7 +8,10 @@
 use displaydoc::Display;
 use hawthorntide_membership::{BalancerIdentity, ControlGate, GossipMachine};
 use hawthorntide_routing::{ConnectionIdCodec, KeyRing, RoutingTable};
-use hawthorntide_types::{DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs};
+use hawthorntide_timeline::Timeline;
+use hawthorntide_types::{
+    ByteCount, DurationMs, FailureDomain, Incarnation, NodeId, Region, Service, TimeMs,
+};
 use hawthorntide_wire::ControlCodec;
 use socket2::SockRef;
 use tokio::net::UdpSocket;
@@ -68,6 +71,8 @@
     pub keys: KeyRing,
     /// Life of this process.
     pub incarnation: Incarnation,
+    /// Time line that takes the events of the process.
+    pub timeline: Arc<Timeline>,
 }
 
 /// Failure to start a balancer.
@@ -107,6 +112,8 @@
     pub(crate) packets_forwarded: AtomicU64,
     pub(crate) packets_replied: AtomicU64,
     pub(crate) packets_dropped: AtomicU64,
+    pub(crate) control_bytes: AtomicU64,
+    pub(crate) timeline: Arc<Timeline>,
     pub(crate) stop: CancellationToken,
     /// Notified when the set of services or their addresses may have changed.
     pub(crate) services_changed: Notify,
@@ -157,6 +164,8 @@
             packets_forwarded: AtomicU64::new(0),
             packets_replied: AtomicU64::new(0),
             packets_dropped: AtomicU64::new(0),
+            control_bytes: AtomicU64::new(0),
+            timeline: options.timeline,
             stop: CancellationToken::new(),
             services_changed: Notify::new(),
             is_killed: AtomicBool::new(false),
@@ -223,6 +232,11 @@
         self.control_address
     }
 
+    /// Returns the bytes of control datagrams sent and received so far, without IP and UDP headers.
+    pub fn control_bytes(&self) -> ByteCount {
+        ByteCount(self.shared.control_bytes.load(Ordering::Relaxed))
+    }
+
     /// Returns what the balancer did so far.
     pub fn report(&self) -> BalancerReport {
         BalancerReport {
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -11,6 +11,7 @@
     GossipMachine, Health, LocalChange, Member,
 };
 use hawthorntide_routing::EndpointRoute;
+use hawthorntide_timeline::{Event, EventKind, Part};
 use hawthorntide_types::{DurationMs, Phase, Service, ServiceId, ServiceName, Version};
 use hawthorntide_wire::MAX_CONTROL_BYTES;
 use hawthorntide_wire::control::ControlMessage;
@@ -203,6 +204,7 @@
     }
 
     async fn receive(&mut self, from: SocketAddr, datagram: &[u8]) {
+        self.count_bytes(datagram.len());
         match self.gate.open(from, datagram) {
             Ok((from, message)) => self.handle(GossipEvent::Message { from, message }).await,
             Err(dropped) => {
@@ -271,6 +273,8 @@
                     apply_endpoint(&self.shared, &endpoint);
                 }
                 GossipAction::MemberChanged(Member::Balancer(balancer)) => {
+                    let event = Event::new(Part::Membership, EventKind::MemberChanged);
+                    self.shared.timeline.record(event);
                     let (node, phase) = (balancer.id, balancer.phase);
                     log::debug!("membership: Balancer {node} is {phase}.");
                 }
@@ -285,11 +289,21 @@
                 GossipAction::ConfigurationReceived(object) => apply_object(&self.shared, &object),
                 GossipAction::IncarnationRaised(raised) => self.gate.raise_incarnation(raised),
                 GossipAction::Confirmed(report) => self.answer(&report),
-                GossipAction::Alarm(alarm) => log_alarm(&alarm),
+                GossipAction::Alarm(alarm) => {
+                    let event = Event::new(Part::Membership, EventKind::Alarm);
+                    self.shared.timeline.record(event);
+                    log_alarm(&alarm);
+                }
             }
         }
     }
 
+    fn count_bytes(&self, bytes: usize) {
+        self.shared
+            .control_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     async fn send(&mut self, to: SocketAddr, message: &ControlMessage) {
         let datagram = match self.gate.seal(message) {
             Ok(datagram) => datagram,
@@ -298,6 +312,7 @@
                 return;
             }
         };
+        self.count_bytes(datagram.len());
         if let Err(error) = self.socket.send_to(&datagram, to).await {
             log::debug!("membership: Message to {to} not sent: {error}.");
         }
@@ -319,6 +334,10 @@
 }
 
 fn apply_endpoint(shared: &Shared, endpoint: &Endpoint) {
+    let event = Event::new(Part::Membership, EventKind::MemberChanged);
+    shared
+        .timeline
+        .record(event.service(endpoint.service).endpoint(endpoint.id));
     let mut table = shared.table.write().unwrap_or_else(PoisonError::into_inner);
     table.set_endpoint(EndpointRoute {
         endpoint: endpoint.id,
@@ -335,6 +354,8 @@
 }
 
 fn apply_object(shared: &Shared, object: &Object) {
+    let event = Event::new(Part::Configuration, EventKind::ConfigurationApplied);
+    shared.timeline.record(event.version(object.version));
     match object.kind.as_str() {
         SERVICE_KIND if object.is_deleted => remove_service(shared, object),
         SERVICE_KIND => match serde_json::from_slice::<Service>(&object.value) {
--- a/crates/balancer/src/operations.rs
+++ b/crates/balancer/src/operations.rs
@@ -9,7 +9,7 @@
 use hawthorntide_configuration::{LogLevel, Object};
 use hawthorntide_membership::{BalancerMember, Endpoint, Health};
 use hawthorntide_platform::{ObjectKey, ObjectStore, StoredObject, WriteId, WriteOutcome};
-use hawthorntide_timeline::{TimedEvent, Timeline};
+use hawthorntide_timeline::{Event, EventKind, Part, TimedEvent, Timeline};
 use hawthorntide_types::{DurationMs, NodeId, Phase, ResultCode, Service, ServiceName, Version};
 use tokio_util::sync::CancellationToken;
 
@@ -67,6 +67,19 @@
         self.control.apply_object(replica_object(object)).await;
     }
 
+    fn record(&self, outcome: &WriteOutcome) {
+        let Some(timeline) = &self.timeline else {
+            return;
+        };
+        let event = Event::new(Part::Admin, EventKind::OperatorChange);
+        timeline.record(match outcome {
+            WriteOutcome::Accepted(version) => event.version(*version),
+            WriteOutcome::Conflict { .. } => event.code(ResultCode::Conflict),
+            WriteOutcome::NotAccepted => event.code(ResultCode::NotAccepted),
+            WriteOutcome::Open { .. } => event.code(ResultCode::OutcomeOpen),
+        });
+    }
+
     async fn view(&self) -> MembershipView {
         let view = self.control.view().await;
         view.unwrap_or_else(|| MembershipView {
@@ -104,6 +117,7 @@
                 Some(value) => self.store.put_if_as(key, value, expected, id).await,
                 None => self.store.delete_if_as(key, expected, id).await,
             };
+            self.record(&outcome);
             self.learn(&change, &outcome).await;
             outcome
         })
--- a/crates/balancer/tests/membership.rs
+++ b/crates/balancer/tests/membership.rs
@@ -13,6 +13,7 @@
 };
 use hawthorntide_platform::{ObjectKey, ObjectKind, ObjectStore, StoreOptions, WriteOutcome};
 use hawthorntide_routing::{KeyRing, RoutingKey};
+use hawthorntide_timeline::Timeline;
 use hawthorntide_types::{
     DurationMs, EndpointId, Incarnation, NodeId, Phase, ServiceId, ServiceName, SlotCount, TimeMs,
     Version,
@@ -53,6 +54,7 @@
         control: codec(),
         keys: KeyRing::new(RoutingKey::new(1, [2; 16]), None).unwrap(),
         incarnation: incarnation(),
+        timeline: Timeline::of_process("balancer"),
     }
 }
 
--- a/crates/balancer/tests/operations.rs
+++ b/crates/balancer/tests/operations.rs
@@ -10,6 +10,7 @@
 use hawthorntide_emulator::{StoreFaults, StoreServer, StoreServerOptions};
 use hawthorntide_platform::{ObjectKey, ObjectKind, ObjectStore, StoreOptions, WriteOutcome};
 use hawthorntide_routing::{KEY_BYTES, KeyRing, RoutingKey};
+use hawthorntide_timeline::Timeline;
 use hawthorntide_types::{Incarnation, NodeId, Version};
 use hawthorntide_wire::{ClusterKey, ControlCodec};
 use reqwest::{Client, RequestBuilder};
@@ -70,6 +71,7 @@
             control: ControlCodec::new("test", ClusterKey::new([1; 32])),
             keys: KeyRing::new(RoutingKey::new(1, [2; KEY_BYTES]), None).unwrap(),
             incarnation: Incarnation(1 + self.nodes.len() as u64),
+            timeline: Timeline::of_process("balancer"),
         };
         let balancer = Balancer::spawn(options).await.unwrap();
         let node = NodeId::of_address(balancer.control_address());
--- a/crates/balancer/tests/support/mod.rs
+++ b/crates/balancer/tests/support/mod.rs
@@ -8,6 +8,7 @@
     AgentIdentity, AnnounceAction, AnnounceEvent, AnnounceMachine, ControlGate,
 };
 use hawthorntide_routing::{ConnectionIdCodec, KeyRing, RoutingKey};
+use hawthorntide_timeline::Timeline;
 use hawthorntide_types::{
     EndpointId, Incarnation, NodeId, Service, ServiceId, SlotCount, TimeMs, Transport,
 };
@@ -63,6 +64,7 @@
         control: control(),
         keys: keys(),
         incarnation: Incarnation(1),
+        timeline: Timeline::of_process("balancer"),
     };
     Balancer::spawn(options).await
 }
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -1,6 +1,6 @@
 //! Events of the time line.
 
-use hawthorntide_types::{ResultCode, Sequence, ServiceId, SessionId};
+use hawthorntide_types::{EndpointId, ResultCode, Sequence, ServiceId, SessionId, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::HybridTime;
@@ -116,6 +116,12 @@
     /// Service that it concerns.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub service: Option<ServiceId>,
+    /// Endpoint that it concerns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub endpoint: Option<EndpointId>,
+    /// Version of the object that it concerns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Version>,
     /// Flow that it concerns.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub flow: Option<FlowKey>,
@@ -127,12 +133,14 @@
 }
 
 impl Event {
-    /// Creates an event with the code `Ok` that concerns no service, flow or request.
+    /// Creates an event with the code `Ok` that concerns nothing in particular.
     pub const fn new(part: Part, kind: EventKind) -> Self {
         Self {
             part,
             kind,
             service: None,
+            endpoint: None,
+            version: None,
             flow: None,
             request: None,
             code: ResultCode::Ok,
@@ -146,6 +154,20 @@
         self
     }
 
+    /// Sets the endpoint.
+    #[must_use]
+    pub const fn endpoint(mut self, endpoint: EndpointId) -> Self {
+        self.endpoint = Some(endpoint);
+        self
+    }
+
+    /// Sets the version of the object.
+    #[must_use]
+    pub const fn version(mut self, version: Version) -> Self {
+        self.version = Some(version);
+        self
+    }
+
     /// Sets the flow.
     #[must_use]
     pub const fn flow(mut self, flow: FlowKey) -> Self {
--- a/crates/timeline/src/ring.rs
+++ b/crates/timeline/src/ring.rs
@@ -6,6 +6,9 @@
 
 use crate::{Event, HybridClock, HybridTime, ProcessName, TimedEvent};
 
+/// Events that a process keeps in each ring; all rings together stay under 8 MB.
+const PROCESS_EVENTS: usize = 4096;
+
 /// Rings that threads share; a thread nearly always finds its own ring unlocked.
 const SHARDS: usize = 16;
 
@@ -39,6 +42,12 @@
 }
 
 impl Timeline {
+    /// Creates an empty time line of the usual size for the process called `name`.
+    pub fn of_process(name: impl Into<String>) -> Arc<Self> {
+        let clock = Arc::new(HybridClock::default());
+        Arc::new(Self::new(ProcessName(name.into()), clock, PROCESS_EVENTS))
+    }
+
     /// Creates a time line that keeps the last `capacity` events of each thread group.
     ///
     /// # Panics
--- a/crates/trial/src/measure.rs
+++ b/crates/trial/src/measure.rs
@@ -109,6 +109,10 @@
         flood.map(|flood| world.deployment.services[flood.service].name.clone());
     count_changes(&collected.changes, report);
     report.last_new_work_after_drain_ms = last_new_work(&world.upstreams);
+    let balancers = world.balancers.iter();
+    report.control_bytes_per_second_max = balancers
+        .filter_map(|process| process.control_traffic.bytes_per_second())
+        .max();
     let seconds = collected.length().as_secs_f64();
     report.store_calls_per_second = Some(collected.store_calls as f64 / seconds);
     let broken = report.broken_promises().into_iter();
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -1,12 +1,14 @@
 //! Processes of a trial: each has a runtime of its own, so that it can be killed or paused as a whole.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hawthorntide_agent::{Agent, DrainReport};
 use hawthorntide_balancer::{Balancer, BalancerReport};
 use hawthorntide_emulator::Upstream;
-use hawthorntide_types::{DurationMs, EndpointId, ServiceName};
+use hawthorntide_timeline::Timeline;
+use hawthorntide_types::{ByteCount, DurationMs, EndpointId, ServiceName};
 use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 use tokio_util::sync::DropGuard;
@@ -56,9 +58,39 @@
     pub(crate) store_link: Option<DropGuard>,
     pub(crate) data_address: SocketAddr,
     pub(crate) control_address: SocketAddr,
+    pub(crate) timeline: Arc<Timeline>,
+    /// Control datagrams in the measured part.
+    pub(crate) control_traffic: ControlTraffic,
+}
+
+/// Bytes of control datagrams of one process at the first and the last sample.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ControlTraffic {
+    first: Option<(Duration, ByteCount)>,
+    last: Option<(Duration, ByteCount)>,
+}
+
+impl ControlTraffic {
+    /// Returns the mean rate; `None` when the process ran for less than a second.
+    pub(crate) fn bytes_per_second(&self) -> Option<u64> {
+        let (began, before) = self.first?;
+        let (ended, after) = self.last?;
+        let seconds = ended.saturating_sub(began).as_secs_f64();
+        let bytes = after.get().saturating_sub(before.get());
+        (seconds >= 1.0).then(|| (bytes as f64 / seconds) as u64)
+    }
 }
 
 impl BalancerProcess {
+    pub(crate) fn sample_control_bytes(&mut self, at: Duration) {
+        let Some(balancer) = &self.balancer else {
+            return;
+        };
+        let sample = (at, balancer.control_bytes());
+        self.control_traffic.first.get_or_insert(sample);
+        self.control_traffic.last = Some(sample);
+    }
+
     /// Returns the data address.
     pub const fn data_address(&self) -> SocketAddr {
         self.data_address
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -78,7 +78,7 @@
     pub config_reverted: Option<u64>,
     /// Time from the beginning of a drain to the last new work, largest of all drains.
     pub last_new_work_after_drain_ms: Option<u64>,
-    /// Control traffic of the process with the most.
+    /// Control bytes sent and received by the balancer with the most, without IP and UDP headers.
     pub control_bytes_per_second_max: Option<u64>,
     /// Promises that the measures contradict.
     pub broken_promises: Vec<String>,
--- a/crates/trial/src/runner.rs
+++ b/crates/trial/src/runner.rs
@@ -238,9 +238,14 @@
         };
         measure::report(&self.world, &self.observer, &collected, &mut report);
         let upstreams = self.world.upstreams.iter();
+        let balancers = self.world.balancers.iter();
+        let own = [self.observer.timeline.events(), self.timeline.events()];
+        let timelines = own
+            .into_iter()
+            .chain(balancers.map(|it| it.timeline.events()));
         Ok(TrialOutcome {
             report,
-            timeline: merge([self.observer.timeline.events(), self.timeline.events()]),
+            timeline: merge(timelines),
             collected,
             upstream_services: upstreams.map(|u| u.service.clone()).collect(),
             observer: self.observer,
@@ -269,6 +274,10 @@
     }
 
     fn sample(&mut self) {
+        let at = self.observer.now();
+        for process in &mut self.world.balancers {
+            process.sample_control_bytes(at);
+        }
         let loads = self.world.upstreams.iter().map(|process| {
             let counts = process.upstream.counts();
             UpstreamLoad {
@@ -278,7 +287,7 @@
             }
         });
         let sample = LoadSample {
-            at: self.observer.now(),
+            at,
             loads: loads.collect(),
         };
         self.samples.push(sample);
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -16,6 +16,7 @@
     ObjectKey, ObjectKind, ObjectStore, StoreError, StoreOptions, WriteOutcome,
 };
 use hawthorntide_routing::{ConnectionIdCodec, KEY_BYTES, KeyRing, RoutingKey};
+use hawthorntide_timeline::Timeline;
 use hawthorntide_types::{
     DurationMs, EndpointId, FailureDomain, Incarnation, NodeId, Region, ResultCode, Service,
     ServiceId, ServiceName, Transport, Version,
@@ -26,7 +27,7 @@
 
 use crate::certificate::TestAuthority;
 use crate::deployment::{Deployment, ReportMode, ServiceEntry, UpstreamGroup};
-use crate::process::{BalancerProcess, ProcessRuntime, UpstreamProcess};
+use crate::process::{BalancerProcess, ControlTraffic, ProcessRuntime, UpstreamProcess};
 
 /// Age of the reports of a lagging upstream.
 const REPORT_LAG: DurationMs = DurationMs(3000);
@@ -143,6 +144,7 @@
     pub async fn join_balancer(&mut self, domain: FailureDomain) -> Result<(), WorldError> {
         let runtime = ProcessRuntime::new("balancer").map_err(WorldError::Io)?;
         let region = self.region(&domain);
+        let timeline = Timeline::of_process(format!("balancer {}", self.balancers.len() + 1));
         let options = BalancerOptions {
             failure_domain: domain.clone(),
             region,
@@ -157,6 +159,7 @@
             control: self.secrets.control.clone(),
             keys: self.secrets.keys.clone(),
             incarnation: next_incarnation(),
+            timeline: Arc::clone(&timeline),
         };
         let balancer = started(runtime.spawn(Balancer::spawn(options)))
             .await?
@@ -176,6 +179,8 @@
             data_address: balancer.data_address(),
             control_address: balancer.control_address(),
             balancer: Some(balancer),
+            timeline,
+            control_traffic: ControlTraffic::default(),
         };
         self.fabric.attach_balancer(BalancerLink {
             address: process.data_address,
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -10,7 +10,7 @@
 };
 use hawthorntide_configuration::{BalancerSettings, IngressSettings, Settings, open};
 use hawthorntide_platform::{ObjectStore, StoreOptions};
-use hawthorntide_timeline::{Event, EventKind, HybridClock, Part, ProcessName, Timeline};
+use hawthorntide_timeline::{Event, EventKind, Part, Timeline};
 use hawthorntide_types::{NodeId, ResultCode};
 use hawthorntide_wire::ControlCodec;
 use tokio_util::sync::CancellationToken;
@@ -19,8 +19,6 @@
 use crate::failure::Failure;
 use crate::{logging, role, signal};
 
-/// Events that the process keeps for the administration API.
-const TIMELINE_EVENTS: usize = 65_536;
 /// Time that the link to the store gets to give up its watcher slot.
 const LINK_TIME: Duration = Duration::from_secs(2);
 
@@ -45,11 +43,10 @@
 async fn serve(settings: &BalancerSettings, path: &Path) -> Result<ResultCode, Failure> {
     let store = ObjectStore::open(settings.store_address, StoreOptions::default());
     let store = Arc::new(store.map_err(|error| Failure::new(ResultCode::Failure, error))?);
-    let balancer = Balancer::spawn(options(settings)?).await.map_err(failure)?;
+    let timeline = Timeline::of_process(format!("balancer {}", settings.control_address));
+    let options = options(settings, Arc::clone(&timeline))?;
+    let balancer = Balancer::spawn(options).await.map_err(failure)?;
     let node = NodeId::of_address(balancer.control_address());
-    let name = ProcessName(format!("balancer {}", balancer.control_address()));
-    let clock = Arc::new(HybridClock::default());
-    let timeline = Arc::new(Timeline::new(name, clock, TIMELINE_EVENTS));
     timeline.record(Event::new(Part::Balancer, EventKind::ProcessStarted));
     let (control, events) = (balancer.control(), Some(Arc::clone(&timeline)));
     let operations = BalancerOperations::new(node, control.clone(), Arc::clone(&store), events);
@@ -123,7 +120,10 @@
     }
 }
 
-fn options(settings: &BalancerSettings) -> Result<BalancerOptions, Failure> {
+fn options(
+    settings: &BalancerSettings,
+    timeline: Arc<Timeline>,
+) -> Result<BalancerOptions, Failure> {
     let keys = settings.key_files.load().map_err(role::problems)?;
     let ingress = match settings.ingress {
         IngressSettings::Socket => Ingress::Socket,
@@ -143,6 +143,7 @@
         control: ControlCodec::new(&settings.cluster, keys.cluster),
         keys: keys.ring,
         incarnation: role::incarnation(),
+        timeline,
     })
 }
 
