Move further requests of long flows away from a slow upstream

Cause: requests stay with the connection of their long flow. An upstream that starts cold keeps the requests of its flows whatever new flows do, and its in-flight work stays far above that of its siblings. An agent whose work is over 1.25 times the mean of its siblings now asks, at the end of an answer, to send further requests over a new connection; a draining agent asks always. The caller library opens that connection, and open streams stay where they are. The chance per answer grows with the excess.

--- a/crates/admission/src/sibling.rs
+++ b/crates/admission/src/sibling.rs
@@ -28,6 +28,12 @@
 /// Ratio above which a sibling is clearly freer.
 const CLEARLY_FREER: f64 = 1.1;
 
+/// Excess over the mean work of the siblings, in parts of the own work, from which on callers are
+/// asked to move; the ratio of 1.25 that is accepted for uneven upstreams.
+const MOVE_EXCESS: f64 = 0.2;
+/// Chance that the caller of one answer is asked to move, in relation to the excess.
+const MOVE_CHANCE: f64 = 0.3;
+
 /// Load of one endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EndpointLoad {
@@ -144,6 +150,34 @@
         FlowChoice::Keep
     }
 
+    /// Decides whether the caller of an answer is asked to send its further requests to a sibling.
+    ///
+    /// The requests of long flows stay with an upstream that became slow, whatever new flows do. The
+    /// chance grows with the excess over the mean work of the siblings, so that the excess shrinks
+    /// within some seconds and callers do not all leave at once.
+    pub fn should_move(&mut self, now: TimeMs) -> bool {
+        self.siblings.retain(|sibling| sibling.is_fresh(now));
+        let Some(own) = self.own else {
+            return false;
+        };
+        let works = || {
+            self.siblings
+                .iter()
+                .filter(|it| it.takes_flows())
+                .map(|it| it.work)
+        };
+        let count = works().count();
+        if count == 0 {
+            return false;
+        }
+        let mean = works().sum::<f64>() / count as f64;
+        let excess = 1.0 - (mean + IDLE_WORK) / (own.work + IDLE_WORK);
+        excess > MOVE_EXCESS
+            && self
+                .random
+                .random_bool((excess * MOVE_CHANCE).clamp(0.0, 1.0))
+    }
+
     /// Draws two siblings that take new flows and returns the one with less load.
     fn freer_of_two(&mut self) -> Option<usize> {
         let takes_flows = |index: &usize| self.siblings[*index].takes_flows();
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -140,6 +140,11 @@
 }
 
 impl Shared {
+    /// Returns whether the caller of an answer should send further requests elsewhere.
+    pub(crate) fn should_move_callers(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed) || self.peers.should_move(self.desk.now())
+    }
+
     /// Returns the load as siblings compare it.
     pub(crate) fn load(&self) -> EndpointLoad {
         let load = self.desk.load();
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -99,7 +99,8 @@
         }
         Err(code) => code,
     };
-    writer.end(code).await;
+    let should_move = shared.should_move_callers();
+    writer.end(code, should_move).await;
 }
 
 /// Reads a request; `None` when it is cut, too slow, or too many are being read.
@@ -351,11 +352,12 @@
         self.send(Body::Chunk(chunk)).await;
     }
 
-    async fn end(&mut self, code: ResultCode) {
+    async fn end(&mut self, code: ResultCode, should_move: bool) {
         let end = End {
             code: u32::from(code.number()),
             total_bytes: self.total_bytes,
             checksum: self.checksum.value(),
+            should_move,
         };
         self.send(Body::End(end)).await;
         if !self.is_lost && self.stream.finish().is_err() {
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -75,6 +75,11 @@
         sibling.map(|sibling| sibling.data_address)
     }
 
+    /// Returns whether the caller of one answer should move its further requests to a sibling.
+    pub(crate) fn should_move(&self, now: TimeMs) -> bool {
+        self.state().choice.should_move(now)
+    }
+
     /// Returns whether `address` is the data address of a sibling.
     pub(crate) fn is_sibling(&self, address: SocketAddr) -> bool {
         let state = self.state();
--- a/crates/client/src/answer.rs
+++ b/crates/client/src/answer.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub struct AnswerReader {
     frames: FrameReader,
+    /// Whether the agent asks for further requests to go over a new connection.
+    pub(crate) should_move: bool,
     received_bytes: u64,
     checksum: answer_checksum::Checksum,
 }
@@ -49,6 +51,7 @@
     fn default() -> Self {
         Self {
             frames: FrameReader::new(MAX_FRAME_BYTES),
+            should_move: false,
             received_bytes: 0,
             checksum: answer_checksum::Checksum::default(),
         }
@@ -79,6 +82,7 @@
             }
             Body::Chunk(_) => Part::End(ResultCode::AnswerCut),
             Body::End(end) => {
+                self.should_move = end.should_move;
                 let number = u8::try_from(end.code).ok();
                 let code = number.and_then(|number| ResultCode::try_from(number).ok());
                 let Some(code) = code else {
--- a/crates/client/src/call.rs
+++ b/crates/client/src/call.rs
@@ -83,18 +83,17 @@
             _watch: self.watch.clone(),
         };
         let mut data = Vec::new();
-        loop {
+        let code = loop {
             match stream.next_message().await {
                 Ok(Some(bytes)) => data.extend_from_slice(&bytes),
-                Ok(None) => {
-                    return Answer {
-                        code: ResultCode::Ok,
-                        data,
-                    };
-                }
-                Err(code) => return Answer { code, data },
+                Ok(None) => break ResultCode::Ok,
+                Err(code) => break code,
             }
+        };
+        if stream.reader.should_move {
+            self.ask_to_move();
         }
+        Answer { code, data }
     }
 
     async fn send(
--- a/crates/client/src/flow.rs
+++ b/crates/client/src/flow.rs
@@ -58,7 +58,7 @@
     /// sent again under its sequence, but only to the agent that may have run it.
     pub async fn call(&self, call: &Call) -> Answer {
         let end = Instant::now() + Duration::from(call.deadline_ms);
-        let caller = self.caller();
+        let caller = self.caller_of_new_work().await;
         let sequence = caller.next_sequence();
         let answer = caller.call_as(sequence, call, false).await;
         if answer.code == ResultCode::NotRunDraining {
@@ -109,6 +109,15 @@
         }
     }
 
+    /// Returns the connection for new work; a new one when the agent asked to leave the present one.
+    async fn caller_of_new_work(&self) -> Arc<Caller> {
+        let caller = self.caller();
+        if !caller.take_move() {
+            return caller;
+        }
+        self.replace(&caller, None).await.unwrap_or(caller)
+    }
+
     /// Moves new work away from a draining agent and sends a request that it refused once more. The
     /// agent has fenced the request, so that this is safe for any kind of work.
     async fn call_elsewhere(
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -1,7 +1,8 @@
 //! Session of a caller at one agent.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use hawthorntide_types::{Epoch, Sequence, SessionId};
 use hawthorntide_wire::{FrameReader, call};
@@ -9,6 +10,10 @@
 
 use crate::CallError;
 
+/// Time for which a new connection takes requests before it may be left for a freer agent; load
+/// reports need some seconds to show the effect of a move.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Largest session grant.
 const MAX_GRANT_BYTES: usize = 256;
 
@@ -58,6 +63,8 @@
     pub(crate) epoch: Epoch,
     next_sequence: AtomicU64,
     resume_connection_id: Vec<u8>,
+    started: Instant,
+    is_asked_to_move: AtomicBool,
 }
 
 impl Caller {
@@ -78,6 +85,8 @@
                 epoch: resume.epoch,
                 next_sequence: AtomicU64::new(resume.next_sequence.get()),
                 resume_connection_id: resume.connection_id,
+                started: Instant::now(),
+                is_asked_to_move: AtomicBool::new(false),
             });
         }
         Ok(Self {
@@ -87,6 +96,8 @@
             epoch: Epoch(grant.epoch),
             next_sequence: AtomicU64::new(1),
             resume_connection_id: grant.resume_connection_id,
+            started: Instant::now(),
+            is_asked_to_move: AtomicBool::new(false),
         })
     }
 
@@ -100,6 +111,19 @@
         }
     }
 
+    /// Notes that the agent asks for further requests to go elsewhere.
+    pub(crate) fn ask_to_move(&self) {
+        if self.started.elapsed() >= SETTLE_TIME {
+            self.is_asked_to_move.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether the agent asked, and forgets it, so that a move that failed is not tried for
+    /// each request.
+    pub(crate) fn take_move(&self) -> bool {
+        self.is_asked_to_move.swap(false, Ordering::Relaxed)
+    }
+
     /// Takes the next sequence of the session.
     pub fn next_sequence(&self) -> Sequence {
         Sequence(self.next_sequence.fetch_add(1, Ordering::Relaxed))
