Ask more callers of a slow upstream to move

With a chance of 0.3 in relation to the excess the imbalance with a cold upstream stayed at 1.33 and 1.40, over the target of 1.25: the excess shrank more slowly than the cold start lasted.

--- a/crates/admission/src/sibling.rs
+++ b/crates/admission/src/sibling.rs
@@ -32,7 +32,7 @@
 /// asked to move; the ratio of 1.25 that is accepted for uneven upstreams.
 const MOVE_EXCESS: f64 = 0.2;
 /// Chance that the caller of one answer is asked to move, in relation to the excess.
-const MOVE_CHANCE: f64 = 0.3;
+const MOVE_CHANCE: f64 = 1.0;
 
 /// Load of one endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/admission/tests/sibling.rs
+++ b/crates/admission/tests/sibling.rs
@@ -77,3 +77,37 @@
     }
     expect_that!(choice.choose(NOW, b"first"), eq(FlowChoice::Keep));
 }
+
+/// Returns how many of 1,000 answers ask their callers to move.
+fn moves(choice: &mut SiblingChoice, now: TimeMs) -> usize {
+    (0..1000).filter(|_| choice.should_move(now)).count()
+}
+
+/// Guards against requests of long flows that stay with an upstream that became slow, and against
+/// all callers leaving it at once.
+#[gtest]
+fn a_part_of_the_callers_leaves_a_busy_endpoint() {
+    let asked = moves(&mut busy(), NOW);
+    expect_that!(asked, gt(0));
+    expect_that!(asked, lt(1000));
+}
+
+/// Guards against callers that move between endpoints whose work differs by less than is accepted,
+/// to a sibling that may be gone, or to one that drains.
+#[gtest]
+fn callers_stay_without_a_clearly_freer_sibling() {
+    let mut choice = SiblingChoice::new(1);
+    let busy_load = |endpoint, in_flight| EndpointLoad {
+        in_flight,
+        slots: SlotCount(10),
+        ..load(endpoint, 1000, Phase::Serving)
+    };
+    choice.own_load(NOW, busy_load(1, 10));
+    expect_that!(moves(&mut choice, NOW), eq(0));
+    choice.report(NOW, busy_load(2, 9));
+    expect_that!(moves(&mut choice, NOW), eq(0));
+    expect_that!(moves(&mut busy(), NOW + DurationMs(2000)), eq(0));
+    let mut choice = busy();
+    choice.report(NOW, load(2, 0, Phase::Draining));
+    expect_that!(moves(&mut choice, NOW), eq(0));
+}
