--- a/src/admin_client.rs
+++ b/src/admin_client.rs
@@ -1,5 +1,6 @@
 //! Calls of the administration API of a balancer.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hawthorntide_admin::{AcceptedBody, ConfirmationBody, ErrorBody, OpenBody};
@@ -76,6 +77,15 @@
         })
     }
 
+    /// Returns a caller of another balancer with the same token.
+    pub(crate) fn at(&self, address: SocketAddr) -> Self {
+        Self {
+            client: self.client.clone(),
+            base: format!("http://{address}"),
+            token: self.token.clone(),
+        }
+    }
+
     pub(crate) async fn get<Body: DeserializeOwned>(&self, path: &str) -> Result<Body, Failure> {
         let reply = self.call(Method::GET, path, None, None).await?;
         reply.decode()
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -49,7 +49,7 @@
     Service(ServiceArguments),
     /// Shows balancers, upstreams and versions in force.
     Status(AdminArguments),
-    /// Shows the events that a balancer recorded.
+    /// Shows the events that balancers recorded.
     Timeline(TimelineArguments),
     /// Runs a deployment in this process on loopback and reports what held.
     Trial(TrialArguments),
@@ -420,10 +420,14 @@
 #[derive(Args, Debug)]
 #[command(after_help = "Examples:
   hawthorntide timeline --event drain_began
+  hawthorntide timeline --all --event configuration_applied
   hawthorntide timeline --service stockd --limit 50 --output json")]
 pub(crate) struct TimelineArguments {
     #[command(flatten)]
     pub(crate) admin: AdminArguments,
+    /// Merges the events of all balancers that the asked one knows.
+    #[arg(long)]
+    pub(crate) all: bool,
     /// Only events of this service.
     #[arg(long)]
     pub(crate) service: Option<ServiceName>,
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -1,9 +1,10 @@
-//! Command `timeline`: shows the events that a balancer recorded.
+//! Command `timeline`: shows the events that balancers recorded, merged in causal order.
 
 use std::fmt::Write;
 
-use hawthorntide_admin::TimelineBody;
-use hawthorntide_types::ResultCode;
+use hawthorntide_admin::{StatusReport, TimelineBody};
+use hawthorntide_timeline::{TimedEvent, merge};
+use hawthorntide_types::{Phase, ResultCode};
 
 use crate::admin_client::AdminClient;
 use crate::cli::TimelineArguments;
@@ -22,13 +23,19 @@
     if let Some(event) = &arguments.event {
         let _ = write!(path, "&event={event}");
     }
-    let body: TimelineBody = client.get(&path).await?;
+    let mut events = if arguments.all {
+        events_of_all(&client, &path).await?
+    } else {
+        client.get::<TimelineBody>(&path).await?.events
+    };
+    let older = events.len().saturating_sub(arguments.limit);
+    events.drain(..older);
     if format == OutputFormat::Json {
-        print_json(&body.events)?;
+        print_json(&events)?;
         return Ok(ResultCode::Ok);
     }
     let mut table = Table::new(&["TIME", "PROCESS", "PART", "EVENT", "CODE"]);
-    for timed in &body.events {
+    for timed in &events {
         let event = &timed.event;
         table.row(&[
             &timed.at,
@@ -42,6 +49,20 @@
     Ok(ResultCode::Ok)
 }
 
+/// Asks every balancer that the asked one knows; one that does not respond is named and left out.
+async fn events_of_all(client: &AdminClient, path: &str) -> Result<Vec<TimedEvent>, Failure> {
+    let status: StatusReport = client.get("/v1/status").await?;
+    let live = status.balancers.iter().filter(|it| it.phase != Phase::Gone);
+    let mut timelines = Vec::new();
+    for address in live.filter_map(|balancer| balancer.admin_address) {
+        match client.at(address).get::<TimelineBody>(path).await {
+            Ok(body) => timelines.push(body.events),
+            Err(failure) => eprintln!("hawthorntide: no time line of {address}: {failure}"),
+        }
+    }
+    Ok(merge(timelines))
+}
+
 /// Returns the name by which a value is serialized.
 fn name(value: &impl serde::Serialize) -> String {
     let value = serde_json::to_value(value).unwrap_or_default();
