Start both roles through one function

The commands balancer and agent held the same steps around their own part: log, metrics, worker threads, and the order in which they end. The steps stand once now, and a flow uses its own method for leaving a connection. Behaviour is the same; the tests of the command line, the log and the quick start pass.

--- a/crates/client/src/flow.rs
+++ b/crates/client/src/flow.rs
@@ -115,7 +115,7 @@
         if !caller.take_move() {
             return caller;
         }
-        self.replace(&caller, None).await.unwrap_or(caller)
+        self.move_away(&caller).await.unwrap_or(caller)
     }
 
     /// Moves new work away from a draining agent and sends a request that it refused once more. The
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,7 +2,6 @@
 
 use std::path::Path;
 
-use hawthorntide_admin::install_metrics;
 use hawthorntide_agent::{Agent, AgentError, AgentOptions, AgentTls};
 use hawthorntide_configuration::{AgentSettings, Settings, TlsMaterial, open};
 use hawthorntide_types::{
@@ -13,17 +12,12 @@
 
 use crate::cli::RoleArguments;
 use crate::failure::Failure;
-use crate::{logging, role, signal};
+use crate::{role, signal};
 
 pub(crate) fn run(arguments: &RoleArguments) -> Result<ResultCode, Failure> {
     let settings = settings(&arguments.settings)?;
-    let log = logging::start(settings.log)?;
-    install_metrics();
-    let runtime = role::runtime(settings.worker_count)?;
-    let code = runtime.block_on(serve(&settings, &arguments.settings));
-    runtime.shutdown_background();
-    log.shutdown();
-    code
+    let serve = serve(&settings, &arguments.settings);
+    role::run(settings.log, settings.worker_count, serve)
 }
 
 fn settings(path: &Path) -> Result<AgentSettings, Failure> {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthorntide_admin::{AdminOptions, AdminServer, Operations, install_metrics};
+use hawthorntide_admin::{AdminOptions, AdminServer, Operations};
 use hawthorntide_balancer::{
     Balancer, BalancerError, BalancerOperations, BalancerOptions, Ingress, StoreLink,
 };
@@ -17,20 +17,15 @@
 
 use crate::cli::RoleArguments;
 use crate::failure::Failure;
-use crate::{logging, role, signal};
+use crate::{role, signal};
 
 /// Time that the link to the store gets to give up its watcher slot.
 const LINK_TIME: Duration = Duration::from_secs(2);
 
 pub(crate) fn run(arguments: &RoleArguments) -> Result<ResultCode, Failure> {
     let settings = settings(&arguments.settings)?;
-    let log = logging::start(settings.log)?;
-    install_metrics();
-    let runtime = role::runtime(settings.worker_count)?;
-    let code = runtime.block_on(serve(&settings, &arguments.settings));
-    runtime.shutdown_background();
-    log.shutdown();
-    code
+    let serve = serve(&settings, &arguments.settings);
+    role::run(settings.log, settings.worker_count, serve)
 }
 
 fn settings(path: &Path) -> Result<BalancerSettings, Failure> {
--- a/src/role.rs
+++ b/src/role.rs
@@ -3,14 +3,31 @@
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use hawthorntide_configuration::SettingsProblem;
+use hawthorntide_admin::install_metrics;
+use hawthorntide_configuration::{LogSettings, SettingsProblem};
 use hawthorntide_types::{Incarnation, ResultCode};
 use tokio::runtime::Runtime;
 
 use crate::failure::Failure;
+use crate::logging;
+
+/// Runs a process with its log and metrics until `serve` ends.
+pub(crate) fn run(
+    log: LogSettings,
+    worker_count: usize,
+    serve: impl Future<Output = Result<ResultCode, Failure>>,
+) -> Result<ResultCode, Failure> {
+    let log = logging::start(log)?;
+    install_metrics();
+    let runtime = runtime(worker_count)?;
+    let code = runtime.block_on(serve);
+    runtime.shutdown_background();
+    log.shutdown();
+    code
+}
 
 /// Starts the worker threads of a process.
-pub(crate) fn runtime(worker_count: usize) -> Result<Runtime, Failure> {
+fn runtime(worker_count: usize) -> Result<Runtime, Failure> {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(worker_count)
         .enable_all()
