--- a/crates/admin/src/access.rs
+++ b/crates/admin/src/access.rs
@@ -1,7 +1,7 @@
 //! Tokens of teams and what they cover.
 
 use hawthorntide_configuration::{Catalog, Team};
-use hawthorntide_platform::{ObjectKind, StoredObject};
+use hawthorntide_store::{ObjectKind, StoredObject};
 use hawthorntide_types::{ProfileName, ResultCode, ServiceName};
 
 use crate::answer::Refusal;
--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of the administration API.
 
 use hawthorntide_configuration::LogLevel;
-use hawthorntide_platform::{ObjectKey, WriteId};
+use hawthorntide_store::{ObjectKey, WriteId};
 use hawthorntide_timeline::TimedEvent;
 use hawthorntide_types::{Phase, Profile, ProfileName, ResultCode, Service, Version};
 use serde::{Deserialize, Serialize};
--- a/crates/admin/src/operations.rs
+++ b/crates/admin/src/operations.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 
 use hawthorntide_configuration::LogLevel;
-use hawthorntide_platform::{ObjectKey, StoredObject, WriteId, WriteOutcome};
+use hawthorntide_store::{ObjectKey, StoredObject, WriteId, WriteOutcome};
 use hawthorntide_timeline::TimedEvent;
 use hawthorntide_types::{
     DurationMs, EndpointId, FailureDomain, Incarnation, NodeId, Phase, Region, ResultCode,
--- a/crates/admin/src/profiles.rs
+++ b/crates/admin/src/profiles.rs
@@ -1,7 +1,7 @@
 //! Routes of profiles.
 
 use hawthorntide_configuration::{Catalog, Team, check_profile};
-use hawthorntide_platform::ObjectKind;
+use hawthorntide_store::ObjectKind;
 use hawthorntide_types::{Profile, ProfileName, ResultCode, Version};
 
 use crate::access::{catalog, read as read_value, require_profile};
--- a/crates/admin/src/request.rs
+++ b/crates/admin/src/request.rs
@@ -8,7 +8,7 @@
 use gotham::hyper::{HeaderMap, Response, StatusCode};
 use gotham::router::response::StaticResponseExtender;
 use gotham::state::{FromState, State, StateData};
-use hawthorntide_platform::{ObjectKey, ObjectKind};
+use hawthorntide_store::{ObjectKey, ObjectKind};
 use hawthorntide_types::{DurationMs, ResultCode, Version};
 use serde::Deserialize;
 use tokio::time::timeout;
--- a/crates/admin/src/services.rs
+++ b/crates/admin/src/services.rs
@@ -1,7 +1,7 @@
 //! Routes of services.
 
 use hawthorntide_configuration::{Team, check_service, check_service_file};
-use hawthorntide_platform::ObjectKind;
+use hawthorntide_store::ObjectKind;
 use hawthorntide_types::{ResultCode, Service, Version};
 
 use crate::access::{catalog, read as read_value, require_operator, require_service};
--- a/crates/admin/src/writes.rs
+++ b/crates/admin/src/writes.rs
@@ -2,7 +2,7 @@
 
 use gotham::hyper::StatusCode;
 use hawthorntide_configuration::Team;
-use hawthorntide_platform::{ObjectKey, ObjectKind, WriteId, WriteOutcome};
+use hawthorntide_store::{ObjectKey, ObjectKind, WriteId, WriteOutcome};
 use hawthorntide_types::{DurationMs, ResultCode, Version};
 
 use crate::answer::{Answer, Refusal};
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -8,7 +8,7 @@
     StatusReport, VersionInForce,
 };
 use hawthorntide_configuration::{LogLevel, Team, TeamServices};
-use hawthorntide_platform::{ObjectKey, ObjectKind, StoredObject, WriteId, WriteOutcome};
+use hawthorntide_store::{ObjectKey, ObjectKind, StoredObject, WriteId, WriteOutcome};
 use hawthorntide_timeline::{
     Event, EventKind, HybridClock, Part, ProcessName, TimedEvent, Timeline,
 };
--- a/crates/balancer/src/operations.rs
+++ b/crates/balancer/src/operations.rs
@@ -8,7 +8,7 @@
 };
 use hawthorntide_configuration::{LogLevel, Object};
 use hawthorntide_membership::{BalancerMember, Endpoint, Health};
-use hawthorntide_platform::{ObjectKey, ObjectStore, StoredObject, WriteId, WriteOutcome};
+use hawthorntide_store::{ObjectKey, ObjectStore, StoredObject, WriteId, WriteOutcome};
 use hawthorntide_timeline::{Event, EventKind, Part, TimedEvent, Timeline};
 use hawthorntide_types::{DurationMs, NodeId, Phase, ResultCode, Service, ServiceName, Version};
 use tokio_util::sync::CancellationToken;
--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -12,7 +12,7 @@
     WatcherMachine,
 };
 use hawthorntide_membership::{BalancerMember, Health};
-use hawthorntide_platform::{
+use hawthorntide_store::{
     ObjectKey, ObjectKind, ObjectStore, StoreError, StoredObject, WriteOutcome,
 };
 use hawthorntide_types::{DurationMs, FailureDomain, NodeId, Phase, TimeMs, Version};
--- a/crates/balancer/tests/membership.rs
+++ b/crates/balancer/tests/membership.rs
@@ -11,8 +11,8 @@
 use hawthorntide_membership::{
     AgentIdentity, AnnounceAction, AnnounceEvent, AnnounceMachine, ControlGate, Health,
 };
-use hawthorntide_platform::{ObjectKey, ObjectKind, ObjectStore, StoreOptions, WriteOutcome};
 use hawthorntide_routing::{KeyRing, RoutingKey};
+use hawthorntide_store::{ObjectKey, ObjectKind, ObjectStore, StoreOptions, WriteOutcome};
 use hawthorntide_timeline::Timeline;
 use hawthorntide_types::{
     DurationMs, EndpointId, Incarnation, NodeId, Phase, ServiceId, ServiceName, SlotCount, TimeMs,
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -5,6 +5,7 @@
 mod document;
 mod key_file;
 mod object_check;
+mod opaque_settings;
 mod problem;
 mod replica;
 mod section;
@@ -15,12 +16,13 @@
 pub use balancer_settings::{BalancerSettings, IngressSettings, Team, TeamServices};
 pub use key_file::{KeyFiles, Keys, TlsFiles, TlsMaterial};
 pub use object_check::{Catalog, check_profile, check_service, check_service_file};
+pub use opaque_settings::{OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings};
 pub use problem::SettingsProblem;
 pub use replica::{
     MAX_VALUE_BYTES, Object, Outcome, PROFILE_KIND, REPLICA_BUCKETS, Replica, SERVICE_KIND,
     bucket_of, state_hash,
 };
-pub use settings::{LogFormat, LogLevel, LogSettings, Settings, check, open};
+pub use settings::{LogFormat, LogLevel, LogOutput, LogSettings, Settings, check, open};
 pub use watcher::{
     MAX_DIRECTORY_PEERS, SLOTS_PER_DOMAIN, SlotRead, SlotState, SlotWrite, WATCHER_SLOT_KIND,
     WatcherAction, WatcherClaims, WatcherEvent, WatcherMachine, WatcherSlotValue, slot_name,
--- /dev/null
+++ b/crates/configuration/src/opaque_settings.rs
@@ -0,0 +1,123 @@
+//! Settings of balancers and agents for opaque flows.
+
+use std::net::SocketAddr;
+
+use hawthorntide_types::{DurationMs, FailureDomain, ServiceName};
+
+use crate::balancer_settings::{MAX_DRAIN_MS, MAX_KNOWN_PEERS, NAME};
+use crate::section::Section;
+use crate::settings::{LogSettings, read_log};
+
+/// Longest time between two heartbeats of an upstream.
+const MAX_HEARTBEAT_MS: u64 = 60_000;
+
+/// Longest time for which a flow without packets is remembered.
+const MAX_FLOW_IDLE_MS: u64 = 3_600_000;
+
+/// Settings that balancers and agents for opaque flows share.
+#[derive(Clone, Debug)]
+pub struct OpaqueProcessSettings {
+    /// Failure domain of the VM.
+    pub failure_domain: FailureDomain,
+    /// Address for messages of other processes; all use the same port.
+    pub peer_address: SocketAddr,
+    /// Hosts on which other processes may be found; the ports do not matter.
+    pub seed_addresses: Vec<SocketAddr>,
+    /// Address of the platform store.
+    pub store_address: SocketAddr,
+    /// Address at which the platform asks for readiness.
+    pub ready_address: SocketAddr,
+    /// Address at which metrics are served.
+    pub metrics_address: Option<SocketAddr>,
+    /// Settings of the log.
+    pub log: LogSettings,
+}
+
+/// Settings of a balancer for opaque flows.
+#[derive(Clone, Debug)]
+pub struct OpaqueBalancerSettings {
+    /// What both roles have.
+    pub process: OpaqueProcessSettings,
+    /// Address for packets of callers.
+    pub data_address: SocketAddr,
+    /// Longest drain of the process.
+    pub drain_limit_ms: DurationMs,
+}
+
+/// Settings of an agent for opaque flows.
+#[derive(Clone, Debug)]
+pub struct OpaqueAgentSettings {
+    /// What both roles have.
+    pub process: OpaqueProcessSettings,
+    /// Service that the upstream serves.
+    pub service: ServiceName,
+    /// Address at which the upstream receives packets.
+    pub upstream_address: SocketAddr,
+    /// Address to which the upstream sends its packets.
+    pub upstream_output_address: SocketAddr,
+    /// Address for heartbeats of the upstream.
+    pub heartbeat_address: SocketAddr,
+    /// Address whose port is the one at which callers receive packets.
+    pub data_address: SocketAddr,
+    /// Time between two heartbeats of the upstream.
+    pub heartbeat_ms: DurationMs,
+    /// Time without packets after which a flow is forgotten.
+    pub flow_idle_ms: DurationMs,
+}
+
+impl OpaqueProcessSettings {
+    fn read(root: &Section<'_>) -> Option<Self> {
+        let failure_domain = root.text("failure_domain", NAME);
+        let peer_address = root.address("peer_address");
+        let seed_addresses = root.addresses("seed_addresses", 0..=MAX_KNOWN_PEERS);
+        let store_address = root.address("store_address");
+        let ready_address = root.address("ready_address");
+        let metrics_address = root.optional_address("metrics_address");
+        let log = read_log(root);
+        Some(Self {
+            failure_domain: failure_domain?,
+            peer_address: peer_address?,
+            seed_addresses,
+            store_address: store_address?,
+            ready_address: ready_address?,
+            metrics_address,
+            log,
+        })
+    }
+}
+
+impl OpaqueBalancerSettings {
+    pub(crate) fn read(root: &Section<'_>) -> Option<Self> {
+        let process = OpaqueProcessSettings::read(root);
+        let data_address = root.address("data_address");
+        let drain_limit_ms = root.number("drain_limit_ms", 1..=MAX_DRAIN_MS);
+        Some(Self {
+            process: process?,
+            data_address: data_address?,
+            drain_limit_ms: DurationMs(drain_limit_ms?),
+        })
+    }
+}
+
+impl OpaqueAgentSettings {
+    pub(crate) fn read(root: &Section<'_>) -> Option<Self> {
+        let process = OpaqueProcessSettings::read(root);
+        let service = root.text("service", NAME);
+        let upstream_address = root.address("upstream_address");
+        let upstream_output_address = root.address("upstream_output_address");
+        let heartbeat_address = root.address("heartbeat_address");
+        let data_address = root.address("data_address");
+        let heartbeat_ms = root.number("heartbeat_ms", 1..=MAX_HEARTBEAT_MS);
+        let flow_idle_ms = root.number("flow_idle_ms", 1..=MAX_FLOW_IDLE_MS);
+        Some(Self {
+            process: process?,
+            service: service?,
+            upstream_address: upstream_address?,
+            upstream_output_address: upstream_output_address?,
+            heartbeat_address: heartbeat_address?,
+            data_address: data_address?,
+            heartbeat_ms: DurationMs(heartbeat_ms?),
+            flow_idle_ms: DurationMs(flow_idle_ms?),
+        })
+    }
+}
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -9,6 +9,7 @@
 use crate::agent_settings::AgentSettings;
 use crate::balancer_settings::BalancerSettings;
 use crate::document::Document;
+use crate::opaque_settings::{OpaqueAgentSettings, OpaqueBalancerSettings};
 use crate::problem::SettingsProblem;
 use crate::section::{Findings, Section};
 
@@ -24,6 +25,10 @@
     Balancer(Box<BalancerSettings>),
     /// Settings of an agent.
     Agent(Box<AgentSettings>),
+    /// Settings of a balancer for opaque flows.
+    OpaqueBalancer(Box<OpaqueBalancerSettings>),
+    /// Settings of an agent for opaque flows.
+    OpaqueAgent(Box<OpaqueAgentSettings>),
 }
 
 /// Lowest importance of the lines that are logged.
@@ -53,13 +58,25 @@
     Json,
 }
 
-/// Settings of the log, which goes to standard error.
+/// Where the log goes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogOutput {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+/// Settings of the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LogSettings {
     /// Level at start; it can be changed at run time.
     pub level: LogLevel,
     /// Form of the entries.
     pub format: LogFormat,
+    /// Where the entries go.
+    pub output: LogOutput,
     /// Lines per second and part that packets may cause.
     pub lines_per_second: u32,
 }
@@ -69,6 +86,7 @@
         Self {
             level: LogLevel::default(),
             format: LogFormat::default(),
+            output: LogOutput::default(),
             lines_per_second: DEFAULT_LINES_PER_SECOND,
         }
     }
@@ -120,6 +138,40 @@
     }
 }
 
+impl FromStr for LogOutput {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "stderr" => Ok(Self::Stderr),
+            "stdout" => Ok(Self::Stdout),
+            _ => Err(problem(text, "log output (stderr, stdout)")),
+        }
+    }
+}
+
+/// Flows that a settings file is for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Flows {
+    /// Connections whose packets name their endpoint.
+    #[default]
+    Quic,
+    /// Flows whose upstream keeps the connection.
+    Opaque,
+}
+
+impl FromStr for Flows {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "quic" => Ok(Self::Quic),
+            "opaque" => Ok(Self::Opaque),
+            _ => Err(problem(text, "kind of flows (quic, opaque)")),
+        }
+    }
+}
+
 /// Role that a settings file is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Role {
@@ -166,6 +218,7 @@
             problems.extend(agent.key_files.load().err());
             problems.extend(agent.tls_files.load().err());
         }
+        Settings::OpaqueBalancer(_) | Settings::OpaqueAgent(_) => {}
     }
     if problems.is_empty() {
         return Ok(settings);
@@ -176,11 +229,20 @@
 fn read<'d>(findings: &'d Findings<'d>, file: &Path) -> Option<Settings> {
     let root = findings.root();
     let role = root.text("role", "\"balancer\" or \"agent\"")?;
-    let settings = match role {
-        Role::Balancer => {
+    let flows = root.optional_text("flows", "\"quic\" or \"opaque\"");
+    let settings = match (role, flows.unwrap_or_default()) {
+        (Role::Balancer, Flows::Quic) => {
             BalancerSettings::read(&root, file).map(|it| Settings::Balancer(Box::new(it)))
         }
-        Role::Agent => AgentSettings::read(&root, file).map(|it| Settings::Agent(Box::new(it))),
+        (Role::Agent, Flows::Quic) => {
+            AgentSettings::read(&root, file).map(|it| Settings::Agent(Box::new(it)))
+        }
+        (Role::Balancer, Flows::Opaque) => {
+            OpaqueBalancerSettings::read(&root).map(|it| Settings::OpaqueBalancer(Box::new(it)))
+        }
+        (Role::Agent, Flows::Opaque) => {
+            OpaqueAgentSettings::read(&root).map(|it| Settings::OpaqueAgent(Box::new(it)))
+        }
     };
     root.finish();
     settings
@@ -194,11 +256,13 @@
     };
     let level = section.optional_text("level", "error, warn, info, debug or trace is accepted");
     let format = section.optional_text("format", "text or json is accepted");
+    let output = section.optional_text("output", "stderr or stdout is accepted");
     let lines = section.optional_number("lines_per_second", 1..=MAX_LINES_PER_SECOND);
     section.finish();
     LogSettings {
         level: level.unwrap_or(defaults.level),
         format: format.unwrap_or(defaults.format),
+        output: output.unwrap_or(defaults.output),
         lines_per_second: lines.unwrap_or(defaults.lines_per_second),
     }
 }
--- a/crates/emulator/src/store/api.rs
+++ b/crates/emulator/src/store/api.rs
@@ -12,7 +12,7 @@
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
 use gotham::router::response::StaticResponseExtender;
 use gotham::state::{FromState, State, StateData};
-use hawthorntide_platform::{
+use hawthorntide_store::{
     ConflictBody, MAX_VALUE_BYTES, PutBody, REVISION_GONE_STATUS, VersionBody, WatchBody,
 };
 use hawthorntide_types::{DurationMs, Version};
--- a/crates/emulator/src/store/state.rs
+++ b/crates/emulator/src/store/state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hawthorntide_platform::{ListBody, ObjectBody, WatchBody};
+use hawthorntide_store::{ListBody, ObjectBody, WatchBody};
 use hawthorntide_types::Version;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/emulator/tests/store.rs
+++ b/crates/emulator/tests/store.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use hawthorntide_emulator::{StoreFaults, StoreHandle, StoreServer, StoreServerOptions};
-use hawthorntide_platform::{
+use hawthorntide_store::{
     MAX_VALUE_BYTES, ObjectKey, ObjectKind, ObjectStore, StoreError, StoreOptions, WriteId,
     WriteOutcome,
 };
--- a/crates/emulator/tests/store_faults.rs
+++ b/crates/emulator/tests/store_faults.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hawthorntide_emulator::{StoreFaults, StoreServer, StoreServerOptions};
-use hawthorntide_platform::{
+use hawthorntide_store::{
     ObjectKey, ObjectKind, ObjectStore, StoreOptions, StoredObject, WriteId, WriteOutcome,
 };
 use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Version};
--- /dev/null
+++ b/crates/opaque/src/agent.rs
@@ -0,0 +1,455 @@
+//! Agent's decisions: what its upstream gets, and where everything else goes.
+//!
+//! The agent is the gate of its upstream: each packet of a caller passes through it. It lets
+//! opening packets through only while the upstream serves the service that was asked for.
+
+use std::net::SocketAddr;
+
+use hawthorntide_routing::FlowKey;
+use hawthorntide_types::{DurationMs, Phase, ResultCode, ServiceName, TimeMs, Weight};
+
+use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
+use crate::held::HeldFlows;
+use crate::message::Search;
+use crate::offer::{Offer, Offers, OpenOffer};
+use crate::peer::{AgentStatus, Peer, PeerRole};
+use crate::segment::{Segment, SegmentKind};
+use crate::view::Quest;
+
+/// Time during which an agent that others may not know yet takes no new flows: gossip has reached
+/// every process by then.
+const JOINING_MS: DurationMs = DurationMs(1_000);
+
+/// Heartbeats of the upstream that may be missed before it gets no new flows.
+const MISSED_HEARTBEATS: u64 = 3;
+
+/// Opening packets in a row without an answer after which the upstream gets no new flows.
+const MAX_UNANSWERED: u32 = 3;
+
+/// Agents that a packet visits at most.
+const MAX_VISITED: usize = 96;
+
+/// Options of the machine.
+#[derive(Clone, Debug)]
+pub struct AgentOptions {
+    /// Process as it describes itself at start.
+    pub own: Peer,
+    /// Service of the upstream.
+    pub service: ServiceName,
+    /// Time between two heartbeats of the upstream.
+    pub heartbeat_ms: DurationMs,
+    /// Time without packets after which a flow is forgotten.
+    pub flow_idle_ms: DurationMs,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// What the upstream says of itself in a heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamReport {
+    /// Name that the upstream has at present.
+    pub id: String,
+    /// When the upstream started, in milliseconds of its clock; tells its lives apart.
+    pub born_ms: u64,
+    /// Position among the reports of one life.
+    pub sequence: u64,
+    /// The upstream is going to stop.
+    pub is_draining: bool,
+    /// Time for which the upstream is still slow after its start.
+    pub cold_for_ms: u64,
+}
+
+impl UpstreamReport {
+    /// Returns whether this was said before `other` was.
+    fn is_older_than(&self, other: &Self) -> bool {
+        if self.born_ms != other.born_ms {
+            return self.born_ms < other.born_ms;
+        }
+        self.id == other.id && self.sequence < other.sequence
+    }
+
+    fn is_same_life(&self, other: &Self) -> bool {
+        self.born_ms == other.born_ms && self.id == other.id
+    }
+}
+
+/// Something that the machine learns.
+#[derive(Clone, Debug)]
+pub enum AgentEvent<'a> {
+    /// Packet of a caller, from a balancer or another agent.
+    Forwarded {
+        /// Way of the packet so far.
+        search: Search,
+        /// Packet.
+        segment: Segment,
+        /// Bytes of the packet.
+        packet: &'a [u8],
+    },
+    /// Packet that the upstream sends to a caller.
+    Sent(Segment),
+    /// Packet of a caller that the upstream does not take.
+    Returned {
+        /// Packet.
+        segment: Segment,
+        /// Token under which it was delivered.
+        token: u32,
+    },
+    /// The upstream of another agent holds a flow.
+    Located {
+        /// Flow.
+        flow: FlowKey,
+        /// Agent.
+        holder: SocketAddr,
+    },
+    /// Heartbeat of the upstream.
+    Report(UpstreamReport),
+    /// The upstream ended; it told its name, or the platform ends the VM.
+    Left(Option<String>),
+    /// The directory knew this agent before it started.
+    WasKnown,
+    /// Time passed.
+    Tick,
+    /// Event of the gossip.
+    Gossip(GossipEvent),
+}
+
+/// Something that the edge does; packets are those of the event unless an action carries one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AgentAction {
+    /// Hands the packet to the upstream.
+    Deliver {
+        /// Token that comes back with the packet if the upstream does not take it.
+        token: u32,
+    },
+    /// Sends the packet of the upstream to its caller.
+    Reply,
+    /// Sends the packet to another agent.
+    PassOn {
+        /// Agent.
+        to: SocketAddr,
+        /// Way of the packet.
+        search: Search,
+        /// Packet, if it is an earlier one than that of the event.
+        packet: Option<Vec<u8>>,
+    },
+    /// Sends the packet back to its balancer, since no known agent is left to ask.
+    GiveBack {
+        /// Way of the packet.
+        search: Search,
+        /// Packet, if it is an earlier one than that of the event.
+        packet: Option<Vec<u8>>,
+    },
+    /// Tells `to` that this agent's upstream holds `flow`.
+    Locate {
+        /// Receiver.
+        to: SocketAddr,
+        /// Flow.
+        flow: FlowKey,
+    },
+    /// Drops the packet.
+    Drop(ResultCode),
+    /// The phase or weight that other processes see changed.
+    StatusChanged(AgentStatus),
+    /// Action of the gossip.
+    Gossip(GossipAction),
+}
+
+/// Decides about each packet at an upstream.
+#[derive(Clone, Debug)]
+pub struct AgentMachine {
+    gossip: GossipMachine,
+    service: ServiceName,
+    heartbeat_ms: DurationMs,
+    flows: HeldFlows,
+    offers: Offers,
+    phase: Phase,
+    joined: TimeMs,
+    upstream: Option<UpstreamReport>,
+    last_report: Option<TimeMs>,
+    unanswered: u32,
+}
+
+impl AgentMachine {
+    /// Creates the machine at the start of the process.
+    pub fn new(now: TimeMs, options: AgentOptions) -> Self {
+        Self {
+            gossip: GossipMachine::new(options.own, options.seed),
+            service: options.service,
+            heartbeat_ms: options.heartbeat_ms,
+            flows: HeldFlows::new(options.flow_idle_ms),
+            offers: Offers::new(options.seed as u32),
+            phase: Phase::Joining,
+            joined: now,
+            upstream: None,
+            last_report: None,
+            unanswered: 0,
+        }
+    }
+
+    /// Returns the gossip of the process.
+    pub const fn gossip(&self) -> &GossipMachine {
+        &self.gossip
+    }
+
+    /// Returns how many flows the upstream is known to hold.
+    pub fn held_flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns whether the machine waits for answers of the upstream and wants ticks.
+    pub fn awaits_answers(&self) -> bool {
+        self.offers.has_openings()
+    }
+
+    /// Returns the phase of the upstream.
+    pub const fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: TimeMs, event: AgentEvent<'_>, out: &mut Vec<AgentAction>) {
+        match event {
+            AgentEvent::Forwarded {
+                search,
+                segment,
+                packet,
+            } => self.forwarded(now, search, &segment, packet, out),
+            AgentEvent::Sent(segment) => self.sent(now, &segment, out),
+            AgentEvent::Returned { segment, token } => self.returned(now, &segment, token, out),
+            // Balancers keep these; an agent that passes packets on reaches the holder in turn.
+            AgentEvent::Located { .. } => {}
+            AgentEvent::Report(report) => self.report(now, report, out),
+            AgentEvent::Left(id) => self.left(now, id.as_deref(), out),
+            AgentEvent::WasKnown => {
+                if self.phase == Phase::Joining {
+                    self.set_phase(now, Phase::Serving, out);
+                }
+            }
+            AgentEvent::Tick => self.tick(now, out),
+            AgentEvent::Gossip(event) => self.spread(now, event, out),
+        }
+    }
+
+    fn forwarded(
+        &mut self,
+        now: TimeMs,
+        search: Search,
+        segment: &Segment,
+        packet: &[u8],
+        out: &mut Vec<AgentAction>,
+    ) {
+        if segment.kind == SegmentKind::Accepting {
+            out.push(AgentAction::Drop(ResultCode::PacketMalformed));
+            return;
+        }
+        if self.flows.contains(&segment.flow) {
+            if self.flows.owns(now, segment) {
+                if !search.visited.is_empty() && !segment.is_opening() {
+                    out.push(AgentAction::Locate {
+                        to: search.balancer,
+                        flow: segment.flow,
+                    });
+                }
+                self.deliver(now, search, segment, None, out);
+            } else {
+                self.pass_on(now, search, segment, None, out);
+            }
+            return;
+        }
+        if !segment.is_opening() {
+            self.deliver(now, search, segment, None, out);
+            return;
+        }
+        if self.takes_new_flows() && search.service == self.service {
+            self.deliver(now, search, segment, Some(packet), out);
+        } else {
+            self.pass_on(now, search, segment, None, out);
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        now: TimeMs,
+        search: Search,
+        segment: &Segment,
+        opening: Option<&[u8]>,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let offer = Offer {
+            flow: segment.flow,
+            search,
+        };
+        let token = self.offers.add(offer);
+        if let Some(packet) = opening {
+            self.offers.await_answer(OpenOffer {
+                offered: now,
+                token,
+                packet: packet.to_vec(),
+            });
+        }
+        out.push(AgentAction::Deliver { token });
+    }
+
+    fn sent(&mut self, now: TimeMs, segment: &Segment, out: &mut Vec<AgentAction>) {
+        self.unanswered = 0;
+        let is_accepted = self.flows.sent(now, segment);
+        out.push(AgentAction::Reply);
+        if is_accepted {
+            self.announce(now, segment.flow, out);
+        }
+    }
+
+    /// Tells the balancers of a flow that they would look for elsewhere first.
+    fn announce(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
+        let own = self.gossip.own().address;
+        let view = self.gossip.view();
+        for balancer in view.live_balancers(now) {
+            let quest = Quest {
+                flow: &flow,
+                near: crate::placement::DomainTag::of(&balancer.failure_domain),
+                service: &self.service,
+                visited: &[],
+                is_opening: false,
+            };
+            if view.next_agent(now, quest) != Some(own) {
+                out.push(AgentAction::Locate {
+                    to: balancer.address,
+                    flow,
+                });
+            }
+        }
+    }
+
+    fn returned(&mut self, now: TimeMs, segment: &Segment, token: u32, out: &mut Vec<AgentAction>) {
+        self.unanswered = 0;
+        if !segment.is_opening() {
+            self.flows.remove(&segment.flow);
+        }
+        let Some(offer) = self.offers.take(token, &segment.flow) else {
+            // The packet was delivered by an earlier life of this process; the caller sends it again.
+            out.push(AgentAction::Drop(ResultCode::EndpointUnknown));
+            return;
+        };
+        self.pass_on(now, offer.search, segment, None, out);
+    }
+
+    /// Sends a packet to the next agent that may take it, or back to its balancer.
+    fn pass_on(
+        &mut self,
+        now: TimeMs,
+        mut search: Search,
+        segment: &Segment,
+        packet: Option<Vec<u8>>,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let own = self.gossip.own().address;
+        if !search.visited.contains(&own) {
+            search.visited.push(own);
+        }
+        if search.visited.len() > MAX_VISITED {
+            out.push(AgentAction::Drop(ResultCode::HopLimit));
+            return;
+        }
+        let quest = Quest {
+            flow: &segment.flow,
+            near: search.near,
+            service: &search.service,
+            visited: &search.visited,
+            is_opening: segment.is_opening(),
+        };
+        out.push(match self.gossip.view().next_agent(now, quest) {
+            Some(to) => AgentAction::PassOn { to, search, packet },
+            None => AgentAction::GiveBack { search, packet },
+        });
+    }
+
+    fn report(&mut self, now: TimeMs, report: UpstreamReport, out: &mut Vec<AgentAction>) {
+        let known = self.upstream.as_ref();
+        if known.is_some_and(|known| report.is_older_than(known)) {
+            return;
+        }
+        let is_reborn = known.is_some_and(|known| !report.is_same_life(known));
+        if is_reborn {
+            self.flows.clear();
+        }
+        self.last_report = Some(now);
+        self.unanswered = 0;
+        let is_draining = report.is_draining;
+        self.upstream = Some(report);
+        let phase = match self.phase {
+            Phase::Joining if !is_draining && now.since(self.joined) < JOINING_MS => Phase::Joining,
+            _ if is_draining => Phase::Draining,
+            _ => Phase::Serving,
+        };
+        self.set_phase(now, phase, out);
+    }
+
+    fn left(&mut self, now: TimeMs, id: Option<&str>, out: &mut Vec<AgentAction>) {
+        let known = self.upstream.as_ref();
+        if id.is_none_or(|id| known.is_none_or(|known| known.id == id)) {
+            self.set_phase(now, Phase::Gone, out);
+        }
+    }
+
+    fn tick(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
+        while let Some((opening, offer)) = self.offers.next_overdue(now) {
+            if self.flows.contains(&offer.flow) {
+                continue;
+            }
+            self.unanswered = self.unanswered.saturating_add(1);
+            let segment = Segment {
+                flow: offer.flow,
+                kind: SegmentKind::Opening { copy: 0 },
+                sequence: 0,
+                acknowledged: 0,
+                payload_bytes: 0,
+                is_last: false,
+            };
+            self.pass_on(now, offer.search, &segment, Some(opening.packet), out);
+        }
+        if self.phase == Phase::Joining && now.since(self.joined) >= JOINING_MS {
+            self.phase = Phase::Serving;
+        }
+        self.publish(now, out);
+    }
+
+    fn set_phase(&mut self, now: TimeMs, phase: Phase, out: &mut Vec<AgentAction>) {
+        self.phase = phase;
+        self.publish(now, out);
+    }
+
+    fn takes_new_flows(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Tells the other processes when what they see of this one changed.
+    fn publish(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
+        let status = AgentStatus {
+            service: self.service.clone(),
+            phase: self.phase,
+            weight: self.weight(now),
+        };
+        if self.gossip.own().agent() == Some(&status) {
+            return;
+        }
+        out.push(AgentAction::StatusChanged(status.clone()));
+        self.spread(now, GossipEvent::OwnRole(PeerRole::Agent(status)), out);
+    }
+
+    /// Returns no weight for an upstream that shows no life.
+    fn weight(&self, now: TimeMs) -> Weight {
+        let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
+        let last = self.last_report.unwrap_or(self.joined);
+        if now.since(last) > limit || self.unanswered >= MAX_UNANSWERED {
+            Weight::NONE
+        } else {
+            Weight::FULL
+        }
+    }
+
+    fn spread(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<AgentAction>) {
+        let mut actions = Vec::new();
+        self.gossip.handle(now, event, &mut actions);
+        out.extend(actions.into_iter().map(AgentAction::Gossip));
+    }
+}
--- /dev/null
+++ b/crates/opaque/src/balancer.rs
@@ -0,0 +1,289 @@
+//! Balancer's decisions: which agent gets a packet of a caller.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use hawthorntide_routing::FlowKey;
+use hawthorntide_types::{DurationMs, Phase, ResultCode, TimeMs};
+
+use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
+use crate::message::Search;
+use crate::peer::Peer;
+use crate::placement::DomainTag;
+use crate::route::{Configuration, RouteTable};
+use crate::segment::{Segment, SegmentKind};
+use crate::view::{Quest, SILENT_AFTER_MS};
+
+/// Time after the last answer of the platform store in which the routes count as current: a watch
+/// answers or ends before.
+const CURRENT_FOR_MS: DurationMs = DurationMs(4_000);
+
+/// Flows whose endpoint a balancer remembers.
+const MAX_LOCATED: usize = 100_000;
+
+/// Time between two passes over the remembered flows.
+const EXPIRY_INTERVAL_MS: DurationMs = DurationMs(1_000);
+
+/// Time without packets after which the endpoint of a flow is forgotten, unless the routes say
+/// otherwise.
+const DEFAULT_IDLE_MS: DurationMs = DurationMs(60_000);
+
+/// What happens to a packet of a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BalancerDecision {
+    /// Sends it to an agent.
+    Forward {
+        /// Agent.
+        to: SocketAddr,
+        /// Way of the packet.
+        search: Search,
+    },
+    /// Tells the caller that its flow does not exist.
+    Reset(ResultCode),
+    /// Drops it.
+    Drop(ResultCode),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LocatedFlow {
+    holder: SocketAddr,
+    last_packet: TimeMs,
+}
+
+/// Decides about each packet of a caller.
+#[derive(Clone, Debug)]
+pub struct BalancerMachine {
+    gossip: GossipMachine,
+    near: DomainTag,
+    routes: RouteTable,
+    /// Addresses that were routes of an earlier version, sorted.
+    dropped_routes: Vec<SocketAddr>,
+    confirmed: Option<TimeMs>,
+    /// Since when the directory was known.
+    settled: Option<TimeMs>,
+    located: HashMap<FlowKey, LocatedFlow>,
+    last_expiry: TimeMs,
+}
+
+impl BalancerMachine {
+    /// Creates the machine at the start of the process `own`.
+    pub fn new(own: Peer, seed: u64) -> Self {
+        Self {
+            near: DomainTag::of(&own.failure_domain),
+            gossip: GossipMachine::new(own, seed),
+            routes: RouteTable::default(),
+            dropped_routes: Vec::new(),
+            confirmed: None,
+            settled: None,
+            located: HashMap::new(),
+            last_expiry: TimeMs::default(),
+        }
+    }
+
+    /// Returns the gossip of the process.
+    pub const fn gossip(&self) -> &GossipMachine {
+        &self.gossip
+    }
+
+    /// Returns the routes in force.
+    pub const fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Returns whether packets can be placed.
+    pub fn is_ready(&self, now: TimeMs) -> bool {
+        let has_routes = self.routes.configuration().is_some();
+        has_routes && self.settled.is_some() && self.gossip.view().live_agents(now) > 0
+    }
+
+    /// Takes an event of the gossip.
+    pub fn gossip_event(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<GossipAction>) {
+        if matches!(event, GossipEvent::Directory(_)) && self.settled.is_none() {
+            self.settled = Some(now);
+        }
+        self.gossip.handle(now, event, out);
+    }
+
+    /// Takes routes from the platform store; returns whether they are newer.
+    pub fn apply(&mut self, configuration: Configuration) -> bool {
+        let old: Vec<_> = self.routes.configuration().map_or_else(Vec::new, |it| {
+            it.routes
+                .iter()
+                .map(|route| route.service_address)
+                .collect()
+        });
+        if !self.routes.apply(configuration) {
+            return false;
+        }
+        let routes = &self.routes;
+        self.dropped_routes.extend(old);
+        self.dropped_routes.sort();
+        self.dropped_routes.dedup();
+        self.dropped_routes
+            .retain(|address| routes.find(*address).is_none());
+        true
+    }
+
+    /// Notes that the platform store confirmed the routes in force.
+    pub const fn confirm(&mut self, now: TimeMs) {
+        self.confirmed = Some(now);
+    }
+
+    /// Remembers the endpoint of a flow.
+    pub fn locate(&mut self, now: TimeMs, flow: FlowKey, holder: SocketAddr) {
+        self.expire(now);
+        if self.located.len() >= MAX_LOCATED && !self.located.contains_key(&flow) {
+            return;
+        }
+        let located = LocatedFlow {
+            holder,
+            last_packet: now,
+        };
+        self.located.insert(flow, located);
+    }
+
+    /// Returns how many flows have a remembered endpoint.
+    pub fn located_flows(&self) -> usize {
+        self.located.len()
+    }
+
+    /// Decides about a packet of a caller.
+    pub fn place(&mut self, now: TimeMs, segment: &Segment) -> BalancerDecision {
+        self.expire(now);
+        let flow = &segment.flow;
+        let Some(route) = self.routes.find(flow.service_address) else {
+            return self.without_route(now, segment);
+        };
+        let Some(service) = route.service_of(flow) else {
+            return BalancerDecision::Drop(ResultCode::NoEndpoint);
+        };
+        let mut search = Search {
+            balancer: self.gossip.own().address,
+            near: self.near,
+            service: service.clone(),
+            visited: Vec::new(),
+        };
+        if let Some(to) = self.located_holder(now, flow) {
+            return BalancerDecision::Forward { to, search };
+        }
+        let copy = match segment.kind {
+            SegmentKind::Opening { copy } => copy,
+            SegmentKind::Reset | SegmentKind::Established => 0,
+            SegmentKind::Accepting => return BalancerDecision::Drop(ResultCode::PacketMalformed),
+        };
+        let Some(to) = self.choose(now, segment, &search, copy) else {
+            return self.nobody_left(now, segment);
+        };
+        search.visited.clear();
+        BalancerDecision::Forward { to, search }
+    }
+
+    /// Decides about a packet that no agent took that its sender knew.
+    pub fn given_back(
+        &mut self,
+        now: TimeMs,
+        search: Search,
+        segment: &Segment,
+    ) -> BalancerDecision {
+        self.located.remove(&segment.flow);
+        match self.next_agent(now, segment, &search) {
+            Some(to) => BalancerDecision::Forward { to, search },
+            None => self.nobody_left(now, segment),
+        }
+    }
+
+    /// Returns the agent for a copy of an opening packet: each copy goes to another agent, so that
+    /// one that does not answer costs the caller one interval.
+    fn choose(
+        &self,
+        now: TimeMs,
+        segment: &Segment,
+        search: &Search,
+        copy: u32,
+    ) -> Option<SocketAddr> {
+        let mut skipped = search.clone();
+        let mut chosen = self.next_agent(now, segment, &skipped)?;
+        for _ in 0..copy {
+            skipped.visited.push(chosen);
+            let Some(next) = self.next_agent(now, segment, &skipped) else {
+                break;
+            };
+            chosen = next;
+        }
+        Some(chosen)
+    }
+
+    fn next_agent(&self, now: TimeMs, segment: &Segment, search: &Search) -> Option<SocketAddr> {
+        let quest = Quest {
+            flow: &segment.flow,
+            near: search.near,
+            service: &search.service,
+            visited: &search.visited,
+            is_opening: segment.is_opening(),
+        };
+        self.gossip.view().next_agent(now, quest)
+    }
+
+    fn located_holder(&mut self, now: TimeMs, flow: &FlowKey) -> Option<SocketAddr> {
+        let located = self.located.get_mut(flow)?;
+        located.last_packet = now;
+        let holder = located.holder;
+        let view = self.gossip.view();
+        let is_gone = view
+            .find(holder)
+            .and_then(Peer::agent)
+            .is_none_or(|status| status.phase == Phase::Gone);
+        if is_gone || view.is_silent(now, holder) {
+            self.located.remove(flow);
+            return None;
+        }
+        Some(holder)
+    }
+
+    /// Refuses a flow whose address is certainly no route.
+    fn without_route(&self, now: TimeMs, segment: &Segment) -> BalancerDecision {
+        let address = segment.flow.service_address;
+        let was_dropped = self.dropped_routes.binary_search(&address).is_ok();
+        let is_current = self
+            .confirmed
+            .is_some_and(|confirmed| now.since(confirmed) <= CURRENT_FOR_MS);
+        if segment.kind == SegmentKind::Reset {
+            return BalancerDecision::Drop(ResultCode::NotFound);
+        }
+        if was_dropped || (segment.is_opening() && is_current) {
+            return BalancerDecision::Reset(ResultCode::NotFound);
+        }
+        BalancerDecision::Drop(ResultCode::NotFound)
+    }
+
+    /// Decides about a packet that every agent returned.
+    ///
+    /// A new flow is refused. An established one is reset only when every agent that may hold it
+    /// was known and asked, or has been unreachable for long.
+    fn nobody_left(&self, now: TimeMs, segment: &Segment) -> BalancerDecision {
+        if segment.kind == SegmentKind::Reset {
+            return BalancerDecision::Drop(ResultCode::NoEndpoint);
+        }
+        let is_settled = self
+            .settled
+            .is_some_and(|settled| now.since(settled) > SILENT_AFTER_MS);
+        if segment.is_opening() || is_settled {
+            BalancerDecision::Reset(ResultCode::NoEndpoint)
+        } else {
+            BalancerDecision::Drop(ResultCode::NoEndpoint)
+        }
+    }
+
+    fn expire(&mut self, now: TimeMs) {
+        if now.since(self.last_expiry) < EXPIRY_INTERVAL_MS {
+            return;
+        }
+        self.last_expiry = now;
+        let idle_ms = self
+            .routes
+            .configuration()
+            .map_or(DEFAULT_IDLE_MS, |it| it.flow_idle_ms);
+        self.located
+            .retain(|_, flow| now.since(flow.last_packet) <= idle_ms);
+    }
+}
--- /dev/null
+++ b/crates/opaque/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions for opaque flows whose upstream keeps the connection.
+//!
+//! Packets of such flows name no endpoint, and neither balancers nor agents hold anything that a
+//! flow could not do without: the upstream alone knows its flows. Balancers and agents remember
+//! where flows were seen, and find a forgotten flow by offering its packets to one upstream after
+//! the other, each of which returns what it does not hold.
+
+mod agent;
+mod balancer;
+mod gossip;
+mod held;
+mod message;
+mod offer;
+mod peer;
+mod placement;
+mod route;
+mod segment;
+mod view;
+
+pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions, UpstreamReport};
+pub use balancer::{BalancerDecision, BalancerMachine};
+pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
+pub use message::{MessageError, PeerMessage, Search, decode, encode};
+pub use peer::{AgentStatus, Peer, PeerRole};
+pub use placement::DomainTag;
+pub use route::{Backend, Configuration, Route, RouteTable};
+pub use segment::{Segment, SegmentKind};
+pub use view::{PeerView, SILENT_AFTER_MS};
--- /dev/null
+++ b/crates/opaque/src/peer.rs
@@ -0,0 +1,56 @@
+//! Processes of a deployment as they describe themselves.
+
+use std::net::SocketAddr;
+
+use hawthorntide_types::{FailureDomain, Incarnation, Phase, ServiceName, Weight};
+use serde::{Deserialize, Serialize};
+
+/// What an agent tells of its upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AgentStatus {
+    /// Service of the upstream.
+    pub service: ServiceName,
+    /// Phase of the upstream.
+    pub phase: Phase,
+    /// Part of the new flows that the upstream takes.
+    pub weight: Weight,
+}
+
+/// Role of a process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PeerRole {
+    /// Forwards packets of callers.
+    Balancer,
+    /// Runs beside an upstream.
+    Agent(AgentStatus),
+}
+
+/// Process of the deployment.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Peer {
+    /// Address for messages of other processes; identifies the process.
+    pub address: SocketAddr,
+    /// Failure domain of its VM.
+    pub failure_domain: FailureDomain,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Counts what the process told of itself within its life.
+    pub beat: u64,
+    /// Role and state.
+    pub role: PeerRole,
+}
+
+impl Peer {
+    /// Returns the state of an agent.
+    pub const fn agent(&self) -> Option<&AgentStatus> {
+        match &self.role {
+            PeerRole::Agent(status) => Some(status),
+            PeerRole::Balancer => None,
+        }
+    }
+
+    /// Returns whether this describes a later moment than `other`, which is the same process.
+    pub(crate) fn is_newer_than(&self, other: &Self) -> bool {
+        (self.incarnation, self.beat) > (other.incarnation, other.beat)
+    }
+}
--- /dev/null
+++ b/crates/opaque/src/view.rs
@@ -0,0 +1,198 @@
+//! What a process knows of the others.
+
+use std::net::SocketAddr;
+
+use hawthorntide_routing::FlowKey;
+use hawthorntide_types::{DurationMs, Phase, ServiceName, TimeMs};
+
+use crate::peer::{AgentStatus, Peer, PeerRole};
+use crate::placement::{DomainTag, rank};
+
+/// Time without news of a process after which it counts as unreachable: ten rounds of gossip.
+pub const SILENT_AFTER_MS: DurationMs = DurationMs(2_500);
+
+/// Time after which a process that left or is unreachable is forgotten: longer than any flow that
+/// it may still hold.
+const FORGET_AFTER_MS: DurationMs = DurationMs(120_000);
+
+/// Rounds of gossip in which news of a process go first.
+const NEWS_ROUNDS: u8 = 6;
+
+/// What news of a process changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Learned {
+    /// Nothing.
+    Stale,
+    /// The process lives.
+    Refreshed,
+    /// The process is new, or its state changed.
+    Changed,
+}
+
+/// Process and what is known of its liveness.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownPeer {
+    pub(crate) peer: Peer,
+    /// Short form of its failure domain.
+    pub(crate) domain: DomainTag,
+    /// When its beat last advanced, or when it was entered.
+    pub(crate) heard: TimeMs,
+    /// Whether it was heard of otherwise than from the directory.
+    pub(crate) is_confirmed: bool,
+    /// Rounds in which it still goes first.
+    pub(crate) news_rounds: u8,
+}
+
+/// What an agent is asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Quest<'a> {
+    pub(crate) flow: &'a FlowKey,
+    pub(crate) near: DomainTag,
+    pub(crate) service: &'a ServiceName,
+    pub(crate) visited: &'a [SocketAddr],
+    /// The flow is new.
+    pub(crate) is_opening: bool,
+}
+
+/// Processes that are known, sorted by address.
+#[derive(Clone, Debug, Default)]
+pub struct PeerView {
+    peers: Vec<KnownPeer>,
+}
+
+impl KnownPeer {
+    pub(crate) fn is_silent(&self, now: TimeMs) -> bool {
+        now.since(self.heard) > SILENT_AFTER_MS
+    }
+
+    /// Returns the status of an agent that can be reached.
+    fn live_agent(&self, now: TimeMs) -> Option<&AgentStatus> {
+        let status = self.peer.agent()?;
+        (!self.is_silent(now) && status.phase != Phase::Gone).then_some(status)
+    }
+}
+
+impl PeerView {
+    /// Returns the processes in the order of their addresses.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.iter().map(|known| &known.peer)
+    }
+
+    /// Returns the process at `address`.
+    pub fn find(&self, address: SocketAddr) -> Option<&Peer> {
+        Some(&self.peers[self.index(address).ok()?].peer)
+    }
+
+    /// Returns whether nothing was heard of the process at `address` for some time.
+    pub fn is_silent(&self, now: TimeMs, address: SocketAddr) -> bool {
+        let index = self.index(address);
+        index.is_ok_and(|index| self.peers[index].is_silent(now))
+    }
+
+    /// Returns the balancers that can be reached.
+    pub fn live_balancers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .iter()
+            .filter(move |known| !known.is_silent(now))
+            .map(|known| &known.peer)
+            .filter(|peer| peer.role == PeerRole::Balancer)
+    }
+
+    /// Returns how many agents can be reached.
+    pub fn live_agents(&self, now: TimeMs) -> usize {
+        let agents = self.peers.iter();
+        agents
+            .filter(|known| known.live_agent(now).is_some())
+            .count()
+    }
+
+    pub(crate) fn known(&self) -> &[KnownPeer] {
+        &self.peers
+    }
+
+    pub(crate) fn known_mut(&mut self) -> &mut [KnownPeer] {
+        &mut self.peers
+    }
+
+    /// Takes what is told of a process.
+    ///
+    /// An entry of the directory is no sign of life, so it does not advance what was heard.
+    pub(crate) fn learn(&mut self, now: TimeMs, peer: Peer, is_sign_of_life: bool) -> Learned {
+        let index = match self.index(peer.address) {
+            Ok(index) => index,
+            Err(index) => {
+                let known = KnownPeer {
+                    domain: DomainTag::of(&peer.failure_domain),
+                    peer,
+                    heard: now,
+                    is_confirmed: is_sign_of_life,
+                    news_rounds: NEWS_ROUNDS,
+                };
+                self.peers.insert(index, known);
+                return Learned::Changed;
+            }
+        };
+        let known = &mut self.peers[index];
+        if !peer.is_newer_than(&known.peer) {
+            return Learned::Stale;
+        }
+        let is_changed = known.peer.role != peer.role
+            || known.peer.incarnation != peer.incarnation
+            || !known.is_confirmed;
+        known.domain = DomainTag::of(&peer.failure_domain);
+        known.peer = peer;
+        if is_sign_of_life {
+            known.heard = now;
+            known.is_confirmed = true;
+        }
+        if is_changed {
+            known.news_rounds = NEWS_ROUNDS;
+            return Learned::Changed;
+        }
+        Learned::Refreshed
+    }
+
+    /// Forgets processes that left or went silent long ago.
+    pub(crate) fn forget_old(&mut self, now: TimeMs) {
+        self.peers
+            .retain(|known| now.since(known.heard) <= FORGET_AFTER_MS);
+    }
+
+    /// Returns the agent that is asked next.
+    ///
+    /// New flows go to serving agents of the service only. Established ones may be with any agent
+    /// that can be reached, since the services of a route change; those of the service come first.
+    pub(crate) fn next_agent(&self, now: TimeMs, quest: Quest<'_>) -> Option<SocketAddr> {
+        let mut best = None;
+        for known in &self.peers {
+            let Some(status) = known.live_agent(now) else {
+                continue;
+            };
+            let is_of_service = status.service == *quest.service;
+            if quest.visited.contains(&known.peer.address) {
+                continue;
+            }
+            let rank = rank(quest.flow, known.peer.address);
+            if quest.is_opening && !(is_of_service && takes(status, rank)) {
+                continue;
+            }
+            let place = (is_of_service, known.domain == quest.near, rank);
+            if best.is_none_or(|(best, _)| place > best) {
+                best = Some((place, known.peer.address));
+            }
+        }
+        best.map(|(_, address)| address)
+    }
+
+    fn index(&self, address: SocketAddr) -> Result<usize, usize> {
+        self.peers
+            .binary_search_by_key(&address, |known| known.peer.address)
+    }
+}
+
+/// Returns whether an agent takes the new flow with this rank; an agent of less than full weight
+/// skips some flows, so that the order of all others stays as it is.
+fn takes(status: &AgentStatus, rank: u64) -> bool {
+    let share = rank.rotate_right(17) % 1000;
+    status.phase == Phase::Serving && share < u64::from(status.weight.get())
+}
--- /dev/null
+++ b/crates/opaque/tests/common/mod.rs
@@ -0,0 +1,545 @@
+//! A fleet of state machines with upstreams that keep or return flows, without sockets or clock.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use hawthorntide_opaque::{
+    AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, Backend, BalancerDecision,
+    BalancerMachine, Configuration, GossipAction, GossipEvent, Peer, PeerMessage, PeerRole, Route,
+    Search, Segment, SegmentKind, UpstreamReport,
+};
+use hawthorntide_routing::FlowKey;
+use hawthorntide_types::{
+    DurationMs, Incarnation, Phase, ResultCode, ServiceName, TimeMs, Version, Weight,
+};
+
+pub const IDLE_MS: DurationMs = DurationMs(60_000);
+pub const HEARTBEAT_MS: u64 = 1_000;
+
+/// Address that callers use for the service `number`.
+pub fn service_address(number: u8) -> SocketAddr {
+    SocketAddr::from(([198, 18, 0, number], 443))
+}
+
+pub fn service(number: u8) -> ServiceName {
+    format!("service-{number}").parse().unwrap()
+}
+
+pub fn flow(caller: u16, service: u8) -> FlowKey {
+    FlowKey {
+        caller: SocketAddr::from(([100, 64, 0, 1], 20_000 + caller)),
+        service_address: service_address(service),
+    }
+}
+
+pub fn peer_address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_720))
+}
+
+pub fn opening(flow: FlowKey, copy: u32) -> Segment {
+    Segment {
+        flow,
+        kind: SegmentKind::Opening { copy },
+        sequence: 1,
+        acknowledged: copy,
+        payload_bytes: 0,
+        is_last: false,
+    }
+}
+
+pub fn established(flow: FlowKey, acknowledged: u32) -> Segment {
+    Segment {
+        flow,
+        kind: SegmentKind::Established,
+        sequence: 2,
+        acknowledged,
+        payload_bytes: 10,
+        is_last: false,
+    }
+}
+
+pub fn peer(number: u8, incarnation: u64, role: PeerRole) -> Peer {
+    Peer {
+        address: peer_address(number),
+        failure_domain: format!("domain-{}", number % 3).parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        beat: 0,
+        role,
+    }
+}
+
+pub fn agent_role(service_number: u8, phase: Phase) -> PeerRole {
+    PeerRole::Agent(AgentStatus {
+        service: service(service_number),
+        phase,
+        weight: Weight::FULL,
+    })
+}
+
+pub fn configuration(version: u64, services: u8) -> Configuration {
+    let routes = (0..services).map(|number| Route {
+        service_address: service_address(number),
+        backends: vec![Backend {
+            service: service(number),
+            weight: 1,
+        }],
+    });
+    Configuration::new(Version(version), routes.collect(), IDLE_MS)
+}
+
+pub fn report(born_ms: u64, sequence: u64, is_draining: bool) -> UpstreamReport {
+    UpstreamReport {
+        id: format!("upstream-{born_ms}"),
+        born_ms,
+        sequence,
+        is_draining,
+        cold_for_ms: 0,
+    }
+}
+
+/// Upstream that holds flows as a server on the network does.
+#[derive(Debug, Default)]
+pub struct Upstream {
+    /// Number that it chose for each flow it accepted, and whether the caller confirmed it.
+    pub flows: BTreeMap<FlowKey, (u32, bool)>,
+    pub takes_new_flows: bool,
+    pub is_dead: bool,
+    /// Packets of established flows that it got although it does not hold them.
+    pub strays: usize,
+}
+
+#[derive(Debug)]
+pub struct AgentNode {
+    pub machine: AgentMachine,
+    pub service: u8,
+    pub upstream: Upstream,
+}
+
+/// Packet or message on its way.
+#[derive(Clone, Debug)]
+enum Transit {
+    Packet(SocketAddr, Search, Segment),
+    GivenBack(SocketAddr, Search, Segment),
+    Message(SocketAddr, SocketAddr, PeerMessage),
+}
+
+/// What became of a caller's packet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The upstream beside this agent took it.
+    Taken(u8),
+    /// The caller got a reset.
+    Reset(ResultCode),
+    /// It was dropped.
+    Dropped(ResultCode),
+    /// It was lost on its way.
+    Lost,
+}
+
+/// Balancers and agents with their upstreams; numbers below 100 are balancers.
+#[derive(Debug)]
+pub struct Fleet {
+    pub now: TimeMs,
+    pub balancers: BTreeMap<u8, BalancerMachine>,
+    pub agents: BTreeMap<u8, AgentNode>,
+    pub services: u8,
+    pub directory: BTreeMap<u8, Peer>,
+    lives: u64,
+    /// Processes that get and send nothing.
+    pub cut: BTreeSet<u8>,
+    pub hops: usize,
+}
+
+impl Fleet {
+    /// Starts a fleet and lets it gossip until all know each other.
+    pub fn new(balancers: u8, agents: u8, services: u8) -> Self {
+        let mut fleet = Self {
+            now: TimeMs(1_000_000),
+            balancers: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            services,
+            directory: BTreeMap::new(),
+            lives: 0,
+            cut: BTreeSet::new(),
+            hops: 0,
+        };
+        for number in 0..agents {
+            fleet.add_agent(100 + number, number % services);
+        }
+        for number in 0..balancers {
+            fleet.start_balancer(number + 1);
+        }
+        fleet.run_for(6_000);
+        fleet
+    }
+
+    fn life(&mut self) -> u64 {
+        self.lives += 1;
+        1_000 + self.lives
+    }
+
+    pub fn start_balancer(&mut self, number: u8) {
+        let life = self.life();
+        let own = peer(number, life, PeerRole::Balancer);
+        let mut machine = BalancerMachine::new(own.clone(), u64::from(number));
+        machine.apply(configuration(1, self.services));
+        machine.confirm(self.now);
+        self.balancers.insert(number, machine);
+        self.enter(number, own);
+    }
+
+    /// Adds a VM with an upstream and its agent.
+    pub fn add_agent(&mut self, number: u8, service_number: u8) {
+        let upstream = Upstream {
+            takes_new_flows: true,
+            ..Upstream::default()
+        };
+        self.start_agent(number, service_number, upstream);
+    }
+
+    /// Starts the agent again; it knows nothing, its upstream keeps its flows.
+    pub fn restart_agent(&mut self, number: u8) {
+        let node = self.agents.remove(&number).unwrap();
+        self.start_agent(number, node.service, node.upstream);
+    }
+
+    fn start_agent(&mut self, number: u8, service_number: u8, upstream: Upstream) {
+        let life = self.life();
+        let own = peer(number, life, agent_role(service_number, Phase::Joining));
+        let options = AgentOptions {
+            own: own.clone(),
+            service: service(service_number),
+            heartbeat_ms: DurationMs(HEARTBEAT_MS),
+            flow_idle_ms: IDLE_MS,
+            seed: life,
+        };
+        let mut machine = AgentMachine::new(self.now, options);
+        let mut actions = Vec::new();
+        if self.directory.contains_key(&number) {
+            machine.handle(self.now, AgentEvent::WasKnown, &mut actions);
+        }
+        let node = AgentNode {
+            machine,
+            service: service_number,
+            upstream,
+        };
+        self.agents.insert(number, node);
+        self.enter(number, own);
+        self.carry_out_all(number, actions);
+    }
+
+    /// Enters a process into the directory and hands it the other entries.
+    fn enter(&mut self, number: u8, own: Peer) {
+        let entry = Peer {
+            incarnation: Incarnation(0),
+            beat: 0,
+            ..own
+        };
+        self.directory.insert(number, entry);
+        let entries = self.directory.values().cloned().collect();
+        self.gossip(number, GossipEvent::Directory(entries));
+    }
+
+    pub fn run_for(&mut self, duration_ms: u64) {
+        let end = self.now + DurationMs(duration_ms);
+        while self.now < end {
+            self.now = self.now + DurationMs(50);
+            let is_round = self.now.get() % 250 == 0;
+            let is_heartbeat = self.now.get() % HEARTBEAT_MS == 0;
+            for number in self.agents.keys().copied().collect::<Vec<_>>() {
+                self.agent_event(number, AgentEvent::Tick, None);
+                let is_alive = !self.agents[&number].upstream.is_dead;
+                if is_heartbeat && is_alive {
+                    let sequence = self.now.get();
+                    let event = AgentEvent::Report(report(1, sequence, self.is_draining(number)));
+                    self.agent_event(number, event, None);
+                }
+                if is_round {
+                    self.gossip(number, GossipEvent::Round);
+                }
+            }
+            for number in self.balancers.keys().copied().collect::<Vec<_>>() {
+                if is_round {
+                    self.gossip(number, GossipEvent::Round);
+                }
+            }
+        }
+    }
+
+    fn is_draining(&self, number: u8) -> bool {
+        self.agents[&number].machine.phase() == Phase::Draining
+    }
+
+    pub fn gossip(&mut self, number: u8, event: GossipEvent) {
+        if self.agents.contains_key(&number) {
+            self.agent_event(number, AgentEvent::Gossip(event), None);
+            return;
+        }
+        let mut actions = Vec::new();
+        let now = self.now;
+        let Some(balancer) = self.balancers.get_mut(&number) else {
+            return;
+        };
+        balancer.gossip_event(now, event, &mut actions);
+        let sends = sends(number, actions);
+        self.deliver(sends);
+    }
+
+    /// Hands an event to an agent and carries out what it decides.
+    pub fn agent_event(&mut self, number: u8, event: AgentEvent<'_>, segment: Option<Segment>) {
+        let mut actions = Vec::new();
+        let now = self.now;
+        let node = self.agents.get_mut(&number).unwrap();
+        node.machine.handle(now, event, &mut actions);
+        let transits = self.transits(number, actions, segment).0;
+        self.deliver(transits);
+    }
+
+    fn carry_out_all(&mut self, number: u8, actions: Vec<AgentAction>) {
+        let transits = self.transits(number, actions, None).0;
+        self.deliver(transits);
+    }
+
+    fn deliver(&mut self, transits: Vec<Transit>) {
+        let mut queue: VecDeque<_> = transits.into();
+        while let Some(transit) = queue.pop_front() {
+            queue.extend(self.arrive(transit).0);
+        }
+    }
+
+    /// Sends a packet of a caller through a balancer.
+    pub fn send(&mut self, balancer: u8, segment: Segment) -> Outcome {
+        let decision = self
+            .balancers
+            .get_mut(&balancer)
+            .unwrap()
+            .place(self.now, &segment);
+        self.hops = 0;
+        let (mut queue, mut outcome) = decide(decision, segment);
+        while let Some(transit) = queue.pop_front() {
+            self.hops += 1;
+            assert!(
+                self.hops < 1_000,
+                "a packet goes round for ever: {segment:?}"
+            );
+            let (more, reached) = self.arrive(transit);
+            queue.extend(more);
+            outcome = reached.or(outcome);
+        }
+        outcome.unwrap_or(Outcome::Lost)
+    }
+
+    /// Opens a flow as a caller does, with copies of its opening packet.
+    pub fn open(&mut self, balancer: u8, key: FlowKey) -> Option<(u8, u32)> {
+        for copy in 0..3 {
+            if let Outcome::Taken(agent) = self.send(balancer, opening(key, copy)) {
+                let number = self.agents[&agent].upstream.flows[&key].0;
+                let taken = self.send(balancer, established(key, number.wrapping_add(1)));
+                assert_eq!(taken, Outcome::Taken(agent), "the handshake of {key}");
+                return Some((agent, number));
+            }
+        }
+        None
+    }
+
+    /// Sends a packet of an open flow and returns who took it.
+    pub fn use_flow(&mut self, balancer: u8, key: FlowKey, number: u32) -> Outcome {
+        self.send(balancer, established(key, number.wrapping_add(1)))
+    }
+
+    fn arrive(&mut self, transit: Transit) -> (Vec<Transit>, Option<Outcome>) {
+        match transit {
+            Transit::Packet(to, search, segment) => self.arrive_at_agent(to, search, segment),
+            Transit::GivenBack(to, search, segment) => {
+                let Some(balancer) = self.balancers.get_mut(&number_of(to)) else {
+                    return (Vec::new(), Some(Outcome::Lost));
+                };
+                let decision = balancer.given_back(self.now, search, &segment);
+                let (queue, outcome) = decide(decision, segment);
+                (queue.into(), outcome)
+            }
+            Transit::Message(from, to, message) => {
+                self.take_message(from, to, message);
+                (Vec::new(), None)
+            }
+        }
+    }
+
+    fn take_message(&mut self, from: SocketAddr, to: SocketAddr, message: PeerMessage) {
+        let (sender, receiver) = (number_of(from), number_of(to));
+        if self.cut.contains(&sender) || self.cut.contains(&receiver) {
+            return;
+        }
+        match message {
+            PeerMessage::Gossip {
+                wants_answer,
+                peers,
+            } => {
+                let event = GossipEvent::Message {
+                    from,
+                    wants_answer,
+                    peers,
+                };
+                self.gossip(receiver, event);
+            }
+            PeerMessage::Located { flow, holder } => {
+                if let Some(balancer) = self.balancers.get_mut(&receiver) {
+                    balancer.locate(self.now, flow, holder);
+                }
+            }
+            PeerMessage::Forward(_) | PeerMessage::Exhausted(_) => {}
+        }
+    }
+
+    fn arrive_at_agent(
+        &mut self,
+        to: SocketAddr,
+        search: Search,
+        segment: Segment,
+    ) -> (Vec<Transit>, Option<Outcome>) {
+        let number = number_of(to);
+        if self.cut.contains(&number) || !self.agents.contains_key(&number) {
+            return (Vec::new(), Some(Outcome::Lost));
+        }
+        let mut actions = Vec::new();
+        let event = AgentEvent::Forwarded {
+            search,
+            segment,
+            packet: &[],
+        };
+        let now = self.now;
+        let node = self.agents.get_mut(&number).unwrap();
+        node.machine.handle(now, event, &mut actions);
+        self.transits(number, actions, Some(segment))
+    }
+
+    /// Turns the decisions of an agent into what is on its way after them.
+    fn transits(
+        &mut self,
+        number: u8,
+        actions: Vec<AgentAction>,
+        segment: Option<Segment>,
+    ) -> (Vec<Transit>, Option<Outcome>) {
+        let own = peer_address(number);
+        let mut transits = Vec::new();
+        let mut outcome = None;
+        for action in actions {
+            match action {
+                AgentAction::Deliver { token } => {
+                    let (more, reached) = self.at_upstream(number, token, segment.unwrap());
+                    transits.extend(more);
+                    outcome = reached.or(outcome);
+                }
+                AgentAction::PassOn { to, search, packet } => {
+                    // An opening packet that went unanswered is followed no further here.
+                    if packet.is_none() {
+                        transits.push(Transit::Packet(to, search, segment.unwrap()));
+                    }
+                }
+                AgentAction::GiveBack { search, packet } => {
+                    if packet.is_none() {
+                        let to = search.balancer;
+                        transits.push(Transit::GivenBack(to, search, segment.unwrap()));
+                    }
+                }
+                AgentAction::Locate { to, flow } => {
+                    let message = PeerMessage::Located { flow, holder: own };
+                    transits.push(Transit::Message(own, to, message));
+                }
+                AgentAction::Drop(code) => outcome = Some(Outcome::Dropped(code)),
+                AgentAction::Gossip(action) => transits.extend(sends(number, vec![action])),
+                AgentAction::Reply | AgentAction::StatusChanged(_) => {}
+            }
+        }
+        (transits, outcome)
+    }
+
+    /// Lets an upstream take a packet or return it.
+    fn at_upstream(
+        &mut self,
+        number: u8,
+        token: u32,
+        segment: Segment,
+    ) -> (Vec<Transit>, Option<Outcome>) {
+        let now = self.now;
+        let node = self.agents.get_mut(&number).unwrap();
+        let upstream = &mut node.upstream;
+        if upstream.is_dead {
+            return (Vec::new(), Some(Outcome::Lost));
+        }
+        let known = upstream.flows.get(&segment.flow).copied();
+        let answer = match (segment.kind, known) {
+            (SegmentKind::Opening { .. }, Some((chosen, _))) => Some(accepting(segment, chosen)),
+            (SegmentKind::Opening { .. }, None) if upstream.takes_new_flows => {
+                let chosen = u32::from(number) * 10_000_000 + u32::from(segment.flow.caller.port());
+                upstream.flows.insert(segment.flow, (chosen, false));
+                Some(accepting(segment, chosen))
+            }
+            (SegmentKind::Established, Some((chosen, is_open)))
+                if is_open || segment.acknowledged == chosen.wrapping_add(1) =>
+            {
+                upstream.flows.insert(segment.flow, (chosen, true));
+                Some(Segment {
+                    kind: SegmentKind::Established,
+                    sequence: chosen.wrapping_add(1),
+                    ..segment
+                })
+            }
+            _ => None,
+        };
+        let mut actions = Vec::new();
+        let outcome = match answer {
+            Some(answer) => {
+                node.machine
+                    .handle(now, AgentEvent::Sent(answer), &mut actions);
+                Some(Outcome::Taken(number))
+            }
+            None => {
+                if !segment.is_opening() {
+                    upstream.strays += 1;
+                }
+                let event = AgentEvent::Returned { segment, token };
+                node.machine.handle(now, event, &mut actions);
+                None
+            }
+        };
+        let (transits, reached) = self.transits(number, actions, Some(segment));
+        (transits, outcome.or(reached))
+    }
+}
+
+fn accepting(segment: Segment, chosen: u32) -> Segment {
+    Segment {
+        kind: SegmentKind::Accepting,
+        sequence: chosen,
+        ..segment
+    }
+}
+
+fn decide(decision: BalancerDecision, segment: Segment) -> (VecDeque<Transit>, Option<Outcome>) {
+    match decision {
+        BalancerDecision::Forward { to, search } => {
+            ([Transit::Packet(to, search, segment)].into(), None)
+        }
+        BalancerDecision::Reset(code) => (VecDeque::new(), Some(Outcome::Reset(code))),
+        BalancerDecision::Drop(code) => (VecDeque::new(), Some(Outcome::Dropped(code))),
+    }
+}
+
+fn sends(number: u8, actions: Vec<GossipAction>) -> Vec<Transit> {
+    let own = peer_address(number);
+    let actions = actions.into_iter();
+    actions
+        .filter_map(|action| match action {
+            GossipAction::Send { to, message } => Some(Transit::Message(own, to, message)),
+            GossipAction::Learned(_) | GossipAction::WentSilent(_) => None,
+        })
+        .collect()
+}
+
+fn number_of(address: SocketAddr) -> u8 {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets()[3],
+        std::net::IpAddr::V6(_) => 0,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/agent.rs
@@ -0,0 +1,370 @@
+//! Agent for opaque flows, beside one upstream.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hawthorntide_admin::render_metrics;
+use hawthorntide_opaque::{
+    AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, GOSSIP_INTERVAL_MS,
+    GossipEvent, PeerMessage, PeerRole, Segment, decode,
+};
+use hawthorntide_platform::{
+    HttpEdge, MAX_PACKET_BYTES, PlatformStore, ProcessState, UpstreamHeartbeat, UpstreamPacket,
+    mark_for_upstream, read_from_caller, read_from_upstream,
+};
+use hawthorntide_store::{ObjectStore, StoreOptions};
+use hawthorntide_types::{DurationMs, Phase, ServiceName, Weight};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep, timeout};
+
+use crate::directory::{Directory, DirectoryNews};
+use crate::peers::{ProcessOptions, carry_out, send_message};
+use crate::sockets::{BindError, Clock, MAX_DATAGRAM_BYTES, bind, receive, send};
+
+/// Pause between two looks at opening packets that wait for an answer.
+const ANSWER_CHECK: Duration = Duration::from_millis(20);
+
+/// Longest time for removing the entry from the directory at the end.
+const LEAVE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Options of an agent.
+#[derive(Clone, Debug)]
+pub struct RelayAgentOptions {
+    /// What both roles have.
+    pub process: ProcessOptions,
+    /// Service of the upstream.
+    pub service: ServiceName,
+    /// Address at which the upstream receives packets.
+    pub upstream_address: SocketAddr,
+    /// Address to which the upstream sends its packets.
+    pub upstream_output_address: SocketAddr,
+    /// Address for heartbeats of the upstream.
+    pub heartbeat_address: SocketAddr,
+    /// Address at which the platform asks for readiness.
+    pub ready_address: SocketAddr,
+    /// Address at which metrics are served.
+    pub metrics_address: Option<SocketAddr>,
+    /// Port at which callers receive packets.
+    pub caller_port: u16,
+    /// Time between two heartbeats of the upstream.
+    pub heartbeat_ms: DurationMs,
+    /// Time without packets after which a flow is forgotten.
+    pub flow_idle_ms: DurationMs,
+}
+
+/// Running agent; it stops when it is dropped.
+#[derive(Debug)]
+pub struct RelayAgent {
+    core: Arc<Core>,
+    directory: Option<Directory>,
+    _edges: Vec<HttpEdge>,
+    _tasks: JoinSet<()>,
+}
+
+#[derive(Debug)]
+struct Core {
+    clock: Clock,
+    machine: Mutex<AgentMachine>,
+    buffer: Mutex<Vec<u8>>,
+    output: UdpSocket,
+    peers: UdpSocket,
+    own_address: SocketAddr,
+    service: ServiceName,
+    upstream_address: SocketAddr,
+    caller_port: u16,
+    /// An opening packet waits for an answer of the upstream.
+    offered: Notify,
+}
+
+impl RelayAgent {
+    /// Binds the sockets and starts the tasks of an agent.
+    pub async fn spawn(options: RelayAgentOptions) -> Result<Self, BindError> {
+        let process = &options.process;
+        let own = process.peer(PeerRole::Agent(AgentStatus {
+            service: options.service.clone(),
+            phase: Phase::Joining,
+            weight: Weight::FULL,
+        }));
+        let store = ObjectStore::open_with(
+            process.store_address,
+            StoreOptions::default(),
+            Arc::new(PlatformStore),
+        );
+        let store = Arc::new(store.map_err(|_| BindError::Store)?);
+        let clock = Clock::start();
+        let machine_options = AgentOptions {
+            own: own.clone(),
+            service: options.service.clone(),
+            heartbeat_ms: options.heartbeat_ms,
+            flow_idle_ms: options.flow_idle_ms,
+            seed: process.seed,
+        };
+        let core = Arc::new(Core {
+            clock,
+            machine: Mutex::new(AgentMachine::new(clock.now(), machine_options)),
+            buffer: Mutex::new(Vec::new()),
+            output: bind(options.upstream_output_address).await?,
+            peers: bind(process.peer_address).await?,
+            own_address: process.peer_address,
+            service: options.service.clone(),
+            upstream_address: options.upstream_address,
+            caller_port: options.caller_port,
+            offered: Notify::new(),
+        });
+        core.handle(
+            AgentEvent::Gossip(GossipEvent::Seeds(process.seed_addresses())),
+            &mut [],
+            None,
+        );
+        let mut edges = Vec::new();
+        let addresses = [
+            Some(options.heartbeat_address),
+            Some(options.ready_address),
+            options.metrics_address,
+        ];
+        for address in addresses.into_iter().flatten() {
+            let state: Arc<dyn ProcessState> = Arc::clone(&core) as _;
+            let edge = HttpEdge::bind(address, state).await;
+            edges.push(edge.map_err(|source| BindError::Bind { address, source })?);
+        }
+        let mut tasks = JoinSet::new();
+        tasks.spawn(Arc::clone(&core).take_output());
+        tasks.spawn(Arc::clone(&core).take_messages());
+        tasks.spawn(Arc::clone(&core).gossip_rounds());
+        tasks.spawn(Arc::clone(&core).check_answers());
+        let directory = Directory::new(store, &own);
+        if let Some(directory) = directory.clone() {
+            let core = Arc::clone(&core);
+            tasks.spawn(directory.run(move |news| core.take_directory(news)));
+        }
+        Ok(Self {
+            core,
+            directory,
+            _edges: edges,
+            _tasks: tasks,
+        })
+    }
+
+    /// Ends the agent; an upstream that left before is taken out of the directory.
+    pub async fn stop(&self) {
+        let phase = self.core.machine().phase();
+        let held_flows = self.core.machine().held_flows();
+        log::info!(phase:% = phase, held_flows; "relay: Agent stops.");
+        if !matches!(phase, Phase::Draining | Phase::Gone) {
+            return;
+        }
+        self.core.handle(AgentEvent::Left(None), &mut [], None);
+        if let Some(directory) = &self.directory
+            && timeout(LEAVE_TIME, directory.leave()).await.is_err()
+        {
+            log::warn!("relay: Directory entry not removed in time.");
+        }
+    }
+}
+
+impl Core {
+    fn machine(&self) -> MutexGuard<'_, AgentMachine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets the machine decide and carries out its decisions.
+    fn handle(&self, event: AgentEvent<'_>, packet: &mut [u8], segment: Option<&Segment>) {
+        let mut actions = Vec::new();
+        self.machine().handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action, packet, segment);
+        }
+    }
+
+    fn carry_out(&self, action: AgentAction, packet: &mut [u8], segment: Option<&Segment>) {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        let buffer = &mut *buffer;
+        match action {
+            AgentAction::Deliver { token } => {
+                mark_for_upstream(packet, token);
+                send(&self.output, packet, self.upstream_address);
+                self.offered.notify_one();
+            }
+            AgentAction::Reply => {
+                let Some(segment) = segment else { return };
+                let caller = SocketAddr::new(segment.flow.caller.ip(), self.caller_port);
+                send(&self.peers, packet, caller);
+            }
+            AgentAction::PassOn {
+                to,
+                search,
+                packet: earlier,
+            } => {
+                log_passed(segment, &search.visited, to);
+                let packet = earlier.as_deref().unwrap_or(packet);
+                let message = PeerMessage::Forward(search);
+                send_message(&self.peers, to, &message, packet, buffer);
+            }
+            AgentAction::GiveBack {
+                search,
+                packet: earlier,
+            } => {
+                let to = search.balancer;
+                log_passed(segment, &search.visited, to);
+                let packet = earlier.as_deref().unwrap_or(packet);
+                let message = PeerMessage::Exhausted(search);
+                send_message(&self.peers, to, &message, packet, buffer);
+            }
+            AgentAction::Locate { to, flow } => {
+                let holder = self.own_address;
+                let message = PeerMessage::Located { flow, holder };
+                send_message(&self.peers, to, &message, &[], buffer);
+            }
+            AgentAction::Drop(code) => {
+                if let Some(segment) = segment {
+                    log::info!(flow:% = segment.flow, code:% = code; "relay: Packet dropped.");
+                }
+            }
+            AgentAction::StatusChanged(status) => log::info!(
+                service:% = status.service,
+                phase:% = status.phase,
+                weight:% = status.weight;
+                "relay: Status changed."
+            ),
+            AgentAction::Gossip(action) => carry_out(&self.peers, vec![action], buffer),
+        }
+    }
+
+    async fn take_output(self: Arc<Self>) {
+        receive(
+            &self.output,
+            MAX_PACKET_BYTES + 1,
+            |packet, _| match read_from_upstream(packet) {
+                Ok(UpstreamPacket::Sent(segment)) => {
+                    self.handle(AgentEvent::Sent(segment), packet, Some(&segment));
+                }
+                Ok(UpstreamPacket::Returned { segment, token }) => {
+                    let event = AgentEvent::Returned { segment, token };
+                    self.handle(event, packet, Some(&segment));
+                }
+                Err(error) => log::warn!("relay: Packet of the upstream dropped: {error}."),
+            },
+        )
+        .await;
+    }
+
+    async fn take_messages(self: Arc<Self>) {
+        receive(&self.peers, MAX_DATAGRAM_BYTES, |datagram, from| {
+            self.take_message(datagram, from);
+        })
+        .await;
+    }
+
+    fn take_message(&self, datagram: &mut [u8], from: SocketAddr) {
+        match decode(datagram) {
+            Ok((
+                PeerMessage::Gossip {
+                    wants_answer,
+                    peers,
+                },
+                _,
+            )) => {
+                let event = GossipEvent::Message {
+                    from,
+                    wants_answer,
+                    peers,
+                };
+                self.handle(AgentEvent::Gossip(event), &mut [], None);
+            }
+            Ok((PeerMessage::Forward(search), packet)) => {
+                let segment = match read_from_caller(packet) {
+                    Ok(segment) => segment,
+                    Err(error) => {
+                        log::warn!("relay: Packet of {from} dropped: {error}.");
+                        return;
+                    }
+                };
+                let mut packet = packet.to_vec();
+                let event = AgentEvent::Forwarded {
+                    search,
+                    segment,
+                    packet: &packet.clone(),
+                };
+                self.handle(event, &mut packet, Some(&segment));
+            }
+            Ok((PeerMessage::Exhausted(_) | PeerMessage::Located { .. }, _)) => {
+                log::warn!("relay: Message of {from} for a balancer dropped.");
+            }
+            Err(error) => log::warn!("relay: Message of {from} dropped: {error}."),
+        }
+    }
+
+    async fn gossip_rounds(self: Arc<Self>) {
+        let mut rounds = interval(GOSSIP_INTERVAL_MS.into());
+        loop {
+            rounds.tick().await;
+            self.handle(AgentEvent::Tick, &mut [], None);
+            self.handle(AgentEvent::Gossip(GossipEvent::Round), &mut [], None);
+        }
+    }
+
+    /// Looks for overdue answers, only while some are awaited.
+    async fn check_answers(self: Arc<Self>) {
+        loop {
+            self.offered.notified().await;
+            while self.machine().awaits_answers() {
+                sleep(ANSWER_CHECK).await;
+                self.handle(AgentEvent::Tick, &mut [], None);
+            }
+        }
+    }
+
+    fn take_directory(&self, news: DirectoryNews) {
+        let event = match news {
+            DirectoryNews::WasKnown => AgentEvent::WasKnown,
+            DirectoryNews::Listed(peers) => AgentEvent::Gossip(GossipEvent::Directory(peers)),
+        };
+        self.handle(event, &mut [], None);
+    }
+}
+
+fn log_passed(segment: Option<&Segment>, visited: &[SocketAddr], to: SocketAddr) {
+    let Some(segment) = segment else {
+        log::info!(to:% = to, visited = visited.len(); "relay: Unanswered packet passed on.");
+        return;
+    };
+    log::info!(
+        flow:% = segment.flow,
+        is_opening = segment.is_opening(),
+        to:% = to,
+        visited = visited.len();
+        "relay: Packet passed on."
+    );
+}
+
+impl ProcessState for Core {
+    fn is_ready(&self) -> bool {
+        true
+    }
+
+    fn heartbeat(&self, heartbeat: UpstreamHeartbeat) -> bool {
+        let is_own =
+            heartbeat.service == self.service && heartbeat.address == self.upstream_address;
+        if !is_own {
+            log::warn!(
+                service:% = heartbeat.service,
+                upstream:% = heartbeat.address;
+                "relay: Heartbeat of another upstream refused."
+            );
+            return false;
+        }
+        self.handle(AgentEvent::Report(heartbeat.report), &mut [], None);
+        true
+    }
+
+    fn left(&self, id: &str) {
+        self.handle(AgentEvent::Left(Some(id.to_owned())), &mut [], None);
+    }
+
+    fn metrics(&self) -> String {
+        render_metrics()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/directory.rs
@@ -0,0 +1,120 @@
+//! Directory of processes in the platform store.
+//!
+//! Each process writes one entry, once, before it lists the others: of two processes that start at
+//! the same moment at least one sees the other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorntide_opaque::Peer;
+use hawthorntide_store::{
+    Collection, Freshness, ListPage, ObjectKey, ObjectKind, ObjectStore, StoredObject, WriteOutcome,
+};
+use hawthorntide_types::{Incarnation, Version};
+use rand::Rng;
+use tokio::time::sleep;
+
+/// Pause before a failed call is tried again.
+const RETRY_PAUSE_MS: std::ops::Range<u64> = 150..400;
+
+/// Pause between two looks at the whole directory, which mend what gossip missed.
+const REFRESH_PAUSE: Duration = Duration::from_secs(10);
+
+/// What the directory tells.
+#[derive(Clone, Debug)]
+pub(crate) enum DirectoryNews {
+    /// The entry of this process was there before it started.
+    WasKnown,
+    /// Processes with an entry.
+    Listed(Vec<Peer>),
+}
+
+/// Keeps the entry of a process and reads those of others.
+#[derive(Clone, Debug)]
+pub(crate) struct Directory {
+    store: Arc<ObjectStore>,
+    key: ObjectKey,
+    /// Entry of this process: without what changes between its lives.
+    entry: serde_json::Value,
+}
+
+impl Directory {
+    pub(crate) fn new(store: Arc<ObjectStore>, own: &Peer) -> Option<Self> {
+        let entry = Peer {
+            incarnation: Incarnation(0),
+            beat: 0,
+            ..own.clone()
+        };
+        let name = format!("{}.{}", own.address.ip(), own.address.port());
+        Some(Self {
+            store,
+            key: ObjectKey::new(ObjectKind::Directory, name).ok()?,
+            entry: serde_json::to_value(entry).ok()?,
+        })
+    }
+
+    /// Enters the process and then tells `take` what the directory has, from time to time.
+    pub(crate) async fn run(self, mut take: impl FnMut(DirectoryNews)) {
+        self.enter(&mut take).await;
+        let mut freshness = Freshness::Current;
+        loop {
+            match self.store.list_collection(Collection::Own, freshness).await {
+                Ok(page) => {
+                    take(DirectoryNews::Listed(peers(page)));
+                    freshness = Freshness::MayBeStale;
+                    sleep(REFRESH_PAUSE).await;
+                }
+                Err(error) => {
+                    log::warn!("relay: Directory not read: {error}.");
+                    pause().await;
+                }
+            }
+        }
+    }
+
+    /// Removes the entry of a process that does not come back.
+    pub(crate) async fn leave(&self) {
+        let Ok(Some(object)) = self.store.get(&self.key).await else {
+            return;
+        };
+        let outcome = self.store.delete_if(&self.key, object.version).await;
+        log::info!(key:% = self.key, code:% = outcome.code(); "relay: Directory entry removed.");
+    }
+
+    async fn enter(&self, take: &mut impl FnMut(DirectoryNews)) {
+        let mut expected = Version::NONE;
+        loop {
+            let outcome = self.store.put_if(&self.key, &self.entry, expected).await;
+            log::info!(key:% = self.key, code:% = outcome.code(); "relay: Directory entry written.");
+            match outcome {
+                WriteOutcome::Accepted(_) => return,
+                WriteOutcome::Conflict { theirs } => {
+                    let theirs = match theirs {
+                        Some(theirs) => Some(theirs),
+                        None => self.store.get(&self.key).await.unwrap_or_default(),
+                    };
+                    if theirs.as_ref().is_some_and(|it| it.value == self.entry) {
+                        take(DirectoryNews::WasKnown);
+                        return;
+                    }
+                    expected = theirs.map_or(Version::NONE, |it| it.version);
+                }
+                WriteOutcome::NotAccepted | WriteOutcome::Open { .. } => pause().await,
+            }
+        }
+    }
+}
+
+fn peers(page: ListPage) -> Vec<Peer> {
+    let objects = page.objects.into_iter();
+    objects
+        .filter_map(StoredObject::read)
+        .filter(|object| object.key.kind == ObjectKind::Directory && !object.is_deleted)
+        .filter_map(|object| serde_json::from_value(object.value).ok())
+        .collect()
+}
+
+async fn pause() {
+    let pause_ms = rand::rng().random_range(RETRY_PAUSE_MS);
+    sleep(Duration::from_millis(pause_ms)).await;
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,13 @@
+//! Edges of balancers and agents for opaque flows: sockets, timers and calls of the store.
+
+mod agent;
+mod balancer;
+mod configuration;
+mod directory;
+mod peers;
+mod sockets;
+
+pub use agent::{RelayAgent, RelayAgentOptions};
+pub use balancer::{RelayBalancer, RelayBalancerOptions};
+pub use peers::ProcessOptions;
+pub use sockets::BindError;
--- a/crates/routing/src/opaque.rs
+++ b/crates/routing/src/opaque.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 
 use hawthorntide_types::{DurationMs, EndpointId, ResultCode, TimeMs, Weight};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::relay::{MAX_HOPS, RelayPurpose, RelayTrail, TrailEntry};
@@ -39,7 +40,7 @@
 const MAX_CANDIDATES: usize = MAX_HOPS as usize - 2;
 
 /// Identifies an opaque UDP flow.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct FlowKey {
     /// Address of the caller.
     pub caller: SocketAddr,
@@ -47,9 +48,15 @@
     pub service_address: SocketAddr,
 }
 
+impl std::fmt::Display for FlowKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}>{}", self.caller, self.service_address)
+    }
+}
+
 impl FlowKey {
     /// Returns the hash that selects the table slot.
-    pub(crate) fn hash(&self) -> u64 {
+    pub fn hash(&self) -> u64 {
         let mut bytes = [0; 36];
         write_address(&mut bytes[..18], self.caller);
         write_address(&mut bytes[18..], self.service_address);
--- a/crates/platform/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,21 +1,21 @@
 //! Calls of the platform store with deadlines and retries.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use displaydoc::Display;
 use hawthorntide_types::{DurationMs, Version};
+use reqwest::header::CONTENT_TYPE;
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
-use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::budget::RetryBudget;
-use crate::object::{Listing, MAX_VALUE_BYTES, ObjectKey, StoredObject, Watched, WriteId};
-use crate::protocol::{
-    ConflictBody, ListBody, ObjectBody, PutBody, REVISION_GONE_STATUS, VersionBody, WatchBody,
-    list_path, object_path, open, seal, watch_path,
+use crate::dialect::{
+    Collection, Freshness, ListPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
 };
+use crate::object::{Listing, MAX_VALUE_BYTES, ObjectKey, StoredObject, Watched, WriteId};
+use crate::protocol::{ObjectApi, ObjectBody, REVISION_GONE_STATUS, open, seal};
 use crate::write::WriteOutcome;
 
 /// Time that a watch may take beyond its wait.
@@ -62,6 +62,7 @@
 pub struct ObjectStore {
     client: Client,
     base: String,
+    dialect: Arc<dyn StoreDialect>,
     options: StoreOptions,
     budget: Mutex<RetryBudget>,
 }
@@ -95,11 +96,21 @@
 impl ObjectStore {
     /// Prepares calls of the store at `address`; nothing is sent yet.
     pub fn open(address: SocketAddr, options: StoreOptions) -> Result<Self, StoreError> {
+        Self::open_with(address, options, Arc::new(ObjectApi))
+    }
+
+    /// Prepares calls of a store that speaks `dialect`.
+    pub fn open_with(
+        address: SocketAddr,
+        options: StoreOptions,
+        dialect: Arc<dyn StoreDialect>,
+    ) -> Result<Self, StoreError> {
         let builder = Client::builder().no_proxy().tcp_nodelay(true);
         let client = builder.build().map_err(|_| StoreError::Unavailable)?;
         Ok(Self {
             client,
             base: format!("http://{address}"),
+            dialect,
             options,
             budget: Mutex::new(RetryBudget::new(options.seed)),
         })
@@ -110,31 +121,77 @@
         self.get_until(key, self.deadline()).await
     }
 
-    /// Reads all objects and tombstones.
+    /// Reads all objects and tombstones of the system.
     pub async fn list(&self) -> Result<Listing, StoreError> {
-        let request = || self.client.get(format!("{}{}", self.base, list_path()));
-        let response = self.read(request, self.deadline()).await?;
-        let body: ListBody = decode(response, self.deadline()).await?;
+        let page = self
+            .list_collection(Collection::Own, Freshness::Current)
+            .await?;
         Ok(Listing {
-            revision: body.revision,
-            objects: open_known(body.objects),
+            revision: page.revision,
+            objects: open_known(page.objects),
         })
     }
 
+    /// Reads all objects of a collection as they lie in the store.
+    ///
+    /// A watch continues from the revision of the first page, so that it misses no change that was
+    /// made between two pages.
+    pub async fn list_collection(
+        &self,
+        collection: Collection,
+        freshness: Freshness,
+    ) -> Result<ListPage, StoreError> {
+        let deadline = self.deadline();
+        let mut listing = self
+            .list_page(collection, None, freshness, deadline)
+            .await?;
+        while let Some(after) = listing.next.take() {
+            let page = self
+                .list_page(collection, Some(&after), freshness, deadline)
+                .await?;
+            listing.objects.extend(page.objects);
+            listing.next = page.next;
+        }
+        Ok(listing)
+    }
+
+    async fn list_page(
+        &self,
+        collection: Collection,
+        after: Option<&str>,
+        freshness: Freshness,
+        deadline: Instant,
+    ) -> Result<ListPage, StoreError> {
+        let call = self.dialect.list(collection, after, freshness);
+        let response = self.read(|| self.request(&call), deadline).await?;
+        let body = body_of(response, deadline).await?;
+        self.dialect.list_answer(collection, &body)
+    }
+
     /// Waits up to `wait` for changes after `from`; one attempt, since the caller watches again anyway.
     pub async fn watch(&self, from: Version, wait: DurationMs) -> Result<Watched, StoreError> {
-        let path = watch_path(from, wait);
-        let request = self.client.get(format!("{}{path}", self.base));
-        let margin = Duration::from_millis(wait.get().saturating_add(WATCH_MARGIN_MS));
-        let deadline = Instant::now() + margin;
-        let response = send(request, deadline).await.map_err(Attempt::error)?;
-        let body: WatchBody = decode(response, deadline).await?;
+        let page = self.watch_collection(Collection::Own, from, wait).await?;
         Ok(Watched {
-            revision: body.revision,
-            objects: open_known(body.events),
+            revision: page.revision,
+            objects: open_known(page.changes),
         })
     }
 
+    /// Like [`watch`](Self::watch), for the objects of a collection as they lie in the store.
+    pub async fn watch_collection(
+        &self,
+        collection: Collection,
+        from: Version,
+        wait: DurationMs,
+    ) -> Result<WatchPage, StoreError> {
+        let call = self.dialect.watch(collection, from, wait);
+        let margin = Duration::from_millis(wait.get().saturating_add(WATCH_MARGIN_MS));
+        let deadline = Instant::now() + margin;
+        let response = send(self.request(&call), deadline).await;
+        let body = body_of(response.map_err(Attempt::error)?, deadline).await?;
+        self.dialect.watch_answer(collection, &body)
+    }
+
     /// Writes `value` if the object still has the version `expected`; `Version::NONE` creates it.
     pub async fn put_if(
         &self,
@@ -202,16 +259,14 @@
         let deadline = self.deadline();
         // The last attempt's worth of time is kept for reading back.
         let write_deadline = deadline - Duration::from(self.options.attempt_ms);
-        let body = PutBody {
-            value: seal(value, &write_id),
-        };
-        if body.value.len() > MAX_VALUE_BYTES {
+        let sealed = seal(value, &write_id);
+        if sealed.len() > MAX_VALUE_BYTES {
             return WriteOutcome::NotAccepted;
         }
         self.budget().earn();
         let mut was_lost = false;
         for attempt in 0.. {
-            match self.put_once(key, &body, expected, write_deadline).await {
+            match self.put_once(key, &sealed, expected, write_deadline).await {
                 Ok(PutAnswer::Accepted(version)) => return WriteOutcome::Accepted(version),
                 Ok(PutAnswer::Conflict(theirs)) => {
                     if let Some(version) = accepted_by(theirs.as_ref(), &write_id) {
@@ -278,7 +333,7 @@
         let left = deadline.saturating_duration_since(Instant::now());
         let history = timeout_at(deadline, self.watch(expected, DurationMs(0))).await;
         let Ok(Ok(history)) = history else {
-            log::warn!("platform: outcome of write {write_id} on {key} stays open, {left:?} left");
+            log::warn!("store: Outcome of write {write_id} on {key} stays open, {left:?} left");
             return WriteOutcome::Open { write_id };
         };
         let versions = history.objects.iter().filter(|object| object.key == *key);
@@ -298,29 +353,32 @@
     async fn put_once(
         &self,
         key: &ObjectKey,
-        body: &PutBody,
+        sealed: &str,
         expected: Version,
         deadline: Instant,
     ) -> Result<PutAnswer, Attempt> {
-        let request = self
-            .client
-            .put(format!("{}{}", self.base, object_path(key)))
-            .header("if-match", expected.get())
-            .json(body);
+        let call = self.dialect.write(key, sealed.to_owned(), expected);
         let deadline = self.attempt_deadline(deadline);
-        let response = send_any(request, deadline).await?;
-        match response.status() {
-            StatusCode::OK => {
-                let body: Result<VersionBody, _> = decode(response, deadline).await;
-                let body = body.map_err(|_| Attempt::Lost)?;
-                Ok(PutAnswer::Accepted(body.version))
-            }
+        let response = send_any(self.request(&call), deadline).await?;
+        let status = response.status();
+        if status.is_success() {
+            let body = body_of(response, deadline).await;
+            let body = body.map_err(|_| Attempt::Lost)?;
+            let version = self.dialect.write_answer(&body);
+            return Ok(PutAnswer::Accepted(version.map_err(|_| Attempt::Lost)?));
+        }
+        match status {
             StatusCode::CONFLICT => {
-                let body: Result<ConflictBody, _> = decode(response, deadline).await;
+                let body = body_of(response, deadline).await;
                 let body = body.map_err(|_| Attempt::Lost)?;
-                let theirs = body.current.and_then(|current| open(current).ok());
-                Ok(PutAnswer::Conflict(theirs))
+                let current = self.dialect.conflict_answer(&body);
+                let current = current.map_err(|_| Attempt::Lost)?;
+                Ok(PutAnswer::Conflict(
+                    current.and_then(|current| open(current).ok()),
+                ))
             }
+            // The object that was to be replaced does not exist.
+            StatusCode::NOT_FOUND => Ok(PutAnswer::Conflict(None)),
             status => Err(failure(status)),
         }
     }
@@ -349,16 +407,17 @@
         key: &ObjectKey,
         deadline: Instant,
     ) -> Result<Option<StoredObject>, Attempt> {
-        let request = self
-            .client
-            .get(format!("{}{}", self.base, object_path(key)));
+        let call = self.dialect.read(key);
         let deadline = self.attempt_deadline(deadline);
-        let response = send_any(request, deadline).await?;
+        let response = send_any(self.request(&call), deadline).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
             StatusCode::OK => {
-                let body: Result<ObjectBody, _> = decode(response, deadline).await;
-                let object = open(body.map_err(|_| Attempt::Lost)?);
+                let body = body_of(response, deadline).await;
+                let body = body.map_err(|_| Attempt::Lost)?;
+                let object = self.dialect.read_answer(&body);
+                let object = object.map_err(|_| Attempt::Lost)?;
+                let object = open(object);
                 Ok(Some(
                     object.map_err(|_| Attempt::Final(StoreError::Malformed))?,
                 ))
@@ -386,6 +445,23 @@
         Err(StoreError::Unavailable)
     }
 
+    fn request(&self, call: &StoreRequest) -> RequestBuilder {
+        let url = format!("{}{}", self.base, call.path);
+        let mut request = match call.method {
+            StoreMethod::Get => self.client.get(url),
+            StoreMethod::Post => self.client.post(url),
+            StoreMethod::Put => self.client.put(url),
+        };
+        if let Some(version) = call.if_match {
+            request = request.header("if-match", version.get());
+        }
+        if let Some(body) = &call.body {
+            request = request.header(CONTENT_TYPE, "application/json");
+            request = request.body(body.clone());
+        }
+        request
+    }
+
     /// Pauses before a retry; returns false when the budget or the time is used up.
     async fn may_retry(&self, attempt: u32, deadline: Instant) -> bool {
         let pause = self.budget().take(attempt);
@@ -429,13 +505,9 @@
     }
 }
 
-async fn decode<Body: DeserializeOwned>(
-    response: Response,
-    deadline: Instant,
-) -> Result<Body, StoreError> {
-    match timeout_at(deadline, response.json()).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(error)) if error.is_decode() => Err(StoreError::Malformed),
+async fn body_of(response: Response, deadline: Instant) -> Result<Vec<u8>, StoreError> {
+    match timeout_at(deadline, response.bytes()).await {
+        Ok(Ok(body)) => Ok(body.to_vec()),
         Ok(Err(_)) | Err(_) => Err(StoreError::Unavailable),
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,14 +2,18 @@
 
 mod budget;
 mod client;
+mod dialect;
 mod object;
 mod protocol;
 mod write;
 
 pub use client::{ObjectStore, StoreError, StoreOptions};
+pub use dialect::{
+    Collection, Freshness, ListPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
+};
 pub use object::{Listing, MAX_VALUE_BYTES, ObjectKey, ObjectKind, StoredObject, Watched, WriteId};
 pub use protocol::{
-    ConflictBody, ListBody, ObjectBody, PutBody, REVISION_GONE_STATUS, VersionBody, WatchBody,
-    list_path, object_path, watch_path,
+    ConflictBody, ListBody, ObjectApi, ObjectBody, PutBody, REVISION_GONE_STATUS, VersionBody,
+    WatchBody, list_path, object_path, watch_path,
 };
 pub use write::WriteOutcome;
--- a/crates/platform/src/object.rs
+++ b/crates/store/src/object.rs
@@ -6,6 +6,8 @@
 use hawthorntide_types::{ParseValueError, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::protocol::{ObjectBody, open};
+
 /// Largest value that the platform store accepts.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 /// Longest name of an object, in bytes.
@@ -137,6 +139,13 @@
     pub value: serde_json::Value,
 }
 
+impl StoredObject {
+    /// Reads an object as it lies in the store; none if another program wrote it.
+    pub fn read(body: ObjectBody) -> Option<Self> {
+        open(body).ok()
+    }
+}
+
 /// All objects at one revision of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Listing {
--- a/crates/platform/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -5,8 +5,13 @@
 //! `GET /v1/watch?from={revision}&wait_ms={wait}` waits for changes after a revision.
 
 use hawthorntide_types::{DurationMs, ParseValueError, Version};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::client::StoreError;
+use crate::dialect::{
+    Collection, Freshness, ListPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
+};
 use crate::object::{ObjectKey, ObjectKind, StoredObject, WriteId};
 
 /// Status of a watch whose revision is older than the history that the store keeps.
@@ -73,6 +78,71 @@
     value: serde_json::Value,
 }
 
+/// Form of the calls of the object API that this module describes; it has the system's own objects
+/// only.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ObjectApi;
+
+impl StoreDialect for ObjectApi {
+    fn list(&self, _: Collection, _: Option<&str>, _: Freshness) -> StoreRequest {
+        StoreRequest::get(list_path().to_owned())
+    }
+
+    fn watch(&self, _: Collection, from: Version, wait: DurationMs) -> StoreRequest {
+        StoreRequest::get(watch_path(from, wait))
+    }
+
+    fn read(&self, key: &ObjectKey) -> StoreRequest {
+        StoreRequest::get(object_path(key))
+    }
+
+    fn write(&self, key: &ObjectKey, value: String, expected: Version) -> StoreRequest {
+        StoreRequest {
+            method: StoreMethod::Put,
+            path: object_path(key),
+            if_match: Some(expected),
+            body: serde_json::to_string(&PutBody { value }).ok(),
+        }
+    }
+
+    fn list_answer(&self, _: Collection, body: &[u8]) -> Result<ListPage, StoreError> {
+        let body: ListBody = parse(body)?;
+        Ok(ListPage {
+            revision: body.revision,
+            objects: body.objects,
+            next: None,
+        })
+    }
+
+    fn watch_answer(&self, _: Collection, body: &[u8]) -> Result<WatchPage, StoreError> {
+        let body: WatchBody = parse(body)?;
+        Ok(WatchPage {
+            revision: body.revision,
+            changes: body.events,
+            removed: Vec::new(),
+        })
+    }
+
+    fn read_answer(&self, body: &[u8]) -> Result<ObjectBody, StoreError> {
+        parse(body)
+    }
+
+    fn write_answer(&self, body: &[u8]) -> Result<Version, StoreError> {
+        let body: VersionBody = parse(body)?;
+        Ok(body.version)
+    }
+
+    fn conflict_answer(&self, body: &[u8]) -> Result<Option<ObjectBody>, StoreError> {
+        let body: ConflictBody = parse(body)?;
+        Ok(body.current)
+    }
+}
+
+/// Reads a body in JSON.
+pub(crate) fn parse<Body: DeserializeOwned>(body: &[u8]) -> Result<Body, StoreError> {
+    serde_json::from_slice(body).map_err(|_| StoreError::Malformed)
+}
+
 /// Returns the path of the list of objects.
 pub const fn list_path() -> &'static str {
     "/v1/objects"
--- a/crates/trial/src/operator.rs
+++ b/crates/trial/src/operator.rs
@@ -7,7 +7,7 @@
 
 use hawthorntide_balancer::ControlHandle;
 use hawthorntide_configuration::{Object, PROFILE_KIND};
-use hawthorntide_platform::{ObjectKey, ObjectKind, ObjectStore, WriteOutcome};
+use hawthorntide_store::{ObjectKey, ObjectKind, ObjectStore, WriteOutcome};
 use hawthorntide_types::{DurationMs, Profile, ProfileName, Version};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -12,10 +12,10 @@
     BalancerLink, Fabric, FabricOptions, Reports, ServiceSocket, StoreServer, StoreServerOptions,
     Upstream, UpstreamOptions,
 };
-use hawthorntide_platform::{
+use hawthorntide_routing::{ConnectionIdCodec, KEY_BYTES, KeyRing, RoutingKey};
+use hawthorntide_store::{
     ObjectKey, ObjectKind, ObjectStore, StoreError, StoreOptions, WriteOutcome,
 };
-use hawthorntide_routing::{ConnectionIdCodec, KEY_BYTES, KeyRing, RoutingKey};
 use hawthorntide_timeline::Timeline;
 use hawthorntide_types::{
     DurationMs, EndpointId, FailureDomain, Incarnation, NodeId, Region, ResultCode, Service,
--- a/src/admin_client.rs
+++ b/src/admin_client.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hawthorntide_admin::{AcceptedBody, ConfirmationBody, ErrorBody, OpenBody};
-use hawthorntide_platform::ObjectKey;
+use hawthorntide_store::ObjectKey;
 use hawthorntide_types::{ResultCode, Version};
 use reqwest::{Client, Method, StatusCode};
 use serde::de::DeserializeOwned;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,18 +12,24 @@
 
 use crate::cli::RoleArguments;
 use crate::failure::Failure;
-use crate::{role, signal};
+use crate::{opaque, role, signal};
 
 pub(crate) fn run(arguments: &RoleArguments) -> Result<ResultCode, Failure> {
-    let settings = settings(&arguments.settings)?;
-    let serve = serve(&settings, &arguments.settings);
-    role::run(settings.log, settings.worker_count, serve)
+    let path = &arguments.settings;
+    match open(path).map_err(role::problems)? {
+        Settings::Agent(settings) => {
+            let serve = serve(&settings, path);
+            role::run(settings.log, settings.worker_count, serve)
+        }
+        Settings::OpaqueAgent(settings) => opaque::run_agent(&settings, path),
+        Settings::Balancer(_) | Settings::OpaqueBalancer(_) => Err(role::wrong_role(path, "agent")),
+    }
 }
 
 fn settings(path: &Path) -> Result<AgentSettings, Failure> {
     match open(path).map_err(role::problems)? {
         Settings::Agent(settings) => Ok(*settings),
-        Settings::Balancer(_) => Err(role::wrong_role(path, "agent")),
+        _ => Err(role::wrong_role(path, "agent")),
     }
 }
 
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -9,7 +9,7 @@
     Balancer, BalancerError, BalancerOperations, BalancerOptions, Ingress, StoreLink,
 };
 use hawthorntide_configuration::{BalancerSettings, IngressSettings, Settings, open};
-use hawthorntide_platform::{ObjectStore, StoreOptions};
+use hawthorntide_store::{ObjectStore, StoreOptions};
 use hawthorntide_timeline::{Event, EventKind, Part, Timeline};
 use hawthorntide_types::{NodeId, ResultCode};
 use hawthorntide_wire::ControlCodec;
@@ -17,21 +17,27 @@
 
 use crate::cli::RoleArguments;
 use crate::failure::Failure;
-use crate::{role, signal};
+use crate::{opaque, role, signal};
 
 /// Time that the link to the store gets to give up its watcher slot.
 const LINK_TIME: Duration = Duration::from_secs(2);
 
 pub(crate) fn run(arguments: &RoleArguments) -> Result<ResultCode, Failure> {
-    let settings = settings(&arguments.settings)?;
-    let serve = serve(&settings, &arguments.settings);
-    role::run(settings.log, settings.worker_count, serve)
+    let path = &arguments.settings;
+    match open(path).map_err(role::problems)? {
+        Settings::Balancer(settings) => {
+            let serve = serve(&settings, path);
+            role::run(settings.log, settings.worker_count, serve)
+        }
+        Settings::OpaqueBalancer(settings) => opaque::run_balancer(&settings, path),
+        Settings::Agent(_) | Settings::OpaqueAgent(_) => Err(role::wrong_role(path, "balancer")),
+    }
 }
 
 fn settings(path: &Path) -> Result<BalancerSettings, Failure> {
     match open(path).map_err(role::problems)? {
         Settings::Balancer(settings) => Ok(*settings),
-        Settings::Agent(_) => Err(role::wrong_role(path, "balancer")),
+        _ => Err(role::wrong_role(path, "balancer")),
     }
 }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -78,7 +78,7 @@
 SIGTERM and SIGINT drain the process, SIGHUP reads keys and certificates again.")]
 pub(crate) struct RoleArguments {
     /// Settings file, JSON with comments.
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, env = "HAWTHORNTIDE_SETTINGS", value_name = "FILE")]
     pub(crate) settings: PathBuf,
 }
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,4 +1,4 @@
-//! Log of a process: short lines on standard error, as text or JSON, at a limited rate.
+//! Log of a process: short lines on standard error or output, as text or JSON, at a limited rate.
 
 use std::io::Write;
 use std::sync::{Mutex, PoisonError};
@@ -7,7 +7,7 @@
 use flexi_logger::filter::{LogLineFilter, LogLineWriter};
 use flexi_logger::{DeferredNow, Logger, LoggerHandle, json_format};
 use hawthorntide_admin::set_log_level;
-use hawthorntide_configuration::{LogFormat, LogSettings};
+use hawthorntide_configuration::{LogFormat, LogOutput, LogSettings};
 use hawthorntide_types::ResultCode;
 use log::{Level, Record};
 
@@ -50,7 +50,11 @@
         modules: Mutex::new(Vec::new()),
     };
     let logger = Logger::try_with_str(SPECIFICATION)
-        .map(|logger| logger.use_utc().log_to_stderr().format(format))
+        .map(|logger| match settings.output {
+            LogOutput::Stderr => logger.log_to_stderr(),
+            LogOutput::Stdout => logger.log_to_stdout(),
+        })
+        .map(|logger| logger.use_utc().format(format))
         .and_then(|logger| logger.filter(Box::new(limit)).start());
     let handle = logger.map_err(|error| Failure::new(ResultCode::Failure, error))?;
     set_log_level(settings.level);
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
 mod failure;
 mod keys;
 mod logging;
+mod opaque;
 mod output;
 mod profile;
 mod role;
--- /dev/null
+++ b/src/opaque.rs
@@ -0,0 +1,118 @@
+//! Balancers and agents for opaque flows, run until they are told to stop.
+
+use std::path::Path;
+
+use hawthorntide_configuration::{
+    OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings, open,
+};
+use hawthorntide_relay::{
+    BindError, ProcessOptions, RelayAgent, RelayAgentOptions, RelayBalancer, RelayBalancerOptions,
+};
+use hawthorntide_types::ResultCode;
+
+use crate::failure::Failure;
+use crate::{role, signal};
+
+pub(crate) fn run_balancer(
+    settings: &OpaqueBalancerSettings,
+    path: &Path,
+) -> Result<ResultCode, Failure> {
+    role::run_on_one_thread(settings.process.log, serve_balancer(settings, path))
+}
+
+pub(crate) fn run_agent(
+    settings: &OpaqueAgentSettings,
+    path: &Path,
+) -> Result<ResultCode, Failure> {
+    role::run_on_one_thread(settings.process.log, serve_agent(settings, path))
+}
+
+async fn serve_balancer(
+    settings: &OpaqueBalancerSettings,
+    path: &Path,
+) -> Result<ResultCode, Failure> {
+    let options = RelayBalancerOptions {
+        process: process_options(&settings.process),
+        data_address: settings.data_address,
+        ready_address: settings.process.ready_address,
+        metrics_address: settings.process.metrics_address,
+    };
+    log_start("balancer", &options.process);
+    let balancer = RelayBalancer::spawn(options).await.map_err(failure)?;
+    wait(path).await?;
+    log::info!("relay: Balancer stops.");
+    balancer.drain(settings.drain_limit_ms).await;
+    Ok(ResultCode::Ok)
+}
+
+async fn serve_agent(settings: &OpaqueAgentSettings, path: &Path) -> Result<ResultCode, Failure> {
+    let options = RelayAgentOptions {
+        process: process_options(&settings.process),
+        service: settings.service.clone(),
+        upstream_address: settings.upstream_address,
+        upstream_output_address: settings.upstream_output_address,
+        heartbeat_address: settings.heartbeat_address,
+        ready_address: settings.process.ready_address,
+        metrics_address: settings.process.metrics_address,
+        caller_port: settings.data_address.port(),
+        heartbeat_ms: settings.heartbeat_ms,
+        flow_idle_ms: settings.flow_idle_ms,
+    };
+    log_start("agent", &options.process);
+    let agent = RelayAgent::spawn(options).await.map_err(failure)?;
+    wait(path).await?;
+    agent.stop().await;
+    Ok(ResultCode::Ok)
+}
+
+/// Waits for the end of the process; checks the settings whenever SIGHUP asks for it.
+async fn wait(path: &Path) -> Result<(), Failure> {
+    let mut stops = signal::Stops::open()?;
+    let mut reloads = signal::Reloads::open()?;
+    loop {
+        tokio::select! {
+            () = stops.next() => return Ok(()),
+            () = reloads.next() => reload(path),
+        }
+    }
+}
+
+/// Checks changed settings, which take hold at the next start.
+fn reload(path: &Path) {
+    match open(path) {
+        Ok(_) => log::info!("relay: Settings read again, they take hold at the next start."),
+        Err(problems) => {
+            log::error!("relay: Settings refused: {}.", role::problems(problems));
+        }
+    }
+}
+
+fn process_options(settings: &OpaqueProcessSettings) -> ProcessOptions {
+    ProcessOptions {
+        failure_domain: settings.failure_domain.clone(),
+        peer_address: settings.peer_address,
+        seeds: settings.seed_addresses.clone(),
+        store_address: settings.store_address,
+        incarnation: role::incarnation(),
+        seed: rand::random(),
+    }
+}
+
+fn log_start(role: &str, process: &ProcessOptions) {
+    log::info!(
+        role,
+        peer:% = process.peer_address,
+        incarnation:% = process.incarnation,
+        failure_domain:% = process.failure_domain,
+        store:% = process.store_address;
+        "relay: Process started."
+    );
+}
+
+fn failure(error: BindError) -> Failure {
+    let code = match &error {
+        BindError::Bind { .. } => ResultCode::AddressInUse,
+        BindError::Store => ResultCode::Failure,
+    };
+    Failure::new(code, error)
+}
--- a/src/role.rs
+++ b/src/role.rs
@@ -26,6 +26,18 @@
     code
 }
 
+/// Runs a process on one thread, for VMs with less than a core.
+pub(crate) fn run_on_one_thread(
+    log: LogSettings,
+    serve: impl Future<Output = Result<ResultCode, Failure>>,
+) -> Result<ResultCode, Failure> {
+    let log = logging::start(log)?;
+    install_metrics();
+    let code = crate::block_on(serve);
+    log.shutdown();
+    code
+}
+
 /// Starts the worker threads of a process.
 fn runtime(worker_count: usize) -> Result<Runtime, Failure> {
     tokio::runtime::Builder::new_multi_thread()
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -9,7 +9,7 @@
 use std::process::{Command, Stdio};
 
 use googletest::prelude::*;
-use hawthorntide_platform::{ObjectStore, StoreError, StoreOptions};
+use hawthorntide_store::{ObjectStore, StoreError, StoreOptions};
 use hawthorntide_types::{DurationMs, ResultCode, Version};
 use serde_json::{Value, json};
 
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -11,7 +11,7 @@
 
 use googletest::prelude::*;
 use hawthorntide_admin::{log_level, set_log_level};
-use hawthorntide_configuration::{LogFormat, LogLevel, LogSettings};
+use hawthorntide_configuration::{LogFormat, LogLevel, LogOutput, LogSettings};
 
 const CHILD: &str = "LOGGING_CHILD";
 
@@ -39,6 +39,7 @@
         } else {
             LogFormat::Text
         },
+        output: LogOutput::Stderr,
         lines_per_second: 10,
     };
     let _log = logging::start(settings).unwrap();
