Reset ended flows as soon as every agent of the directory was asked

The wait was there because a view may be incomplete. Now it need not be waited for: an agent takes no new flows before its entry is in the directory, so the directory names every agent that may hold a flow, and agents that were not heard of yet count as reachable. A balancer that reached less than half of the agents resets nothing.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -16,10 +16,13 @@
 use crate::segment::{Segment, SegmentKind};
 use crate::view::Quest;
 
-/// Time during which an agent that others may not know yet takes no new flows: gossip has reached
-/// every process by then.
+/// Time after its entry in the directory during which a new agent takes no new flows: gossip has
+/// reached every process by then.
 const JOINING_MS: DurationMs = DurationMs(1_000);
 
+/// Time after which an agent takes new flows although its entry could not be written.
+const JOINING_LIMIT_MS: DurationMs = DurationMs(8_000);
+
 /// Heartbeats of the upstream that may be missed before it gets no new flows.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -105,8 +108,11 @@
     Report(UpstreamReport),
     /// The upstream ended; it told its name, or the platform ends the VM.
     Left(Option<String>),
-    /// The directory knew this agent before it started.
-    WasKnown,
+    /// The directory has the agent.
+    Entered {
+        /// It had the agent before it started.
+        was_known: bool,
+    },
     /// Time passed.
     Tick,
     /// Event of the gossip.
@@ -163,7 +169,9 @@
     flows: HeldFlows,
     offers: Offers,
     phase: Phase,
-    joined: TimeMs,
+    started: TimeMs,
+    /// When the directory got the entry of the agent.
+    entered: Option<TimeMs>,
     upstream: Option<UpstreamReport>,
     last_report: Option<TimeMs>,
     unanswered: u32,
@@ -179,7 +187,8 @@
             flows: HeldFlows::new(options.flow_idle_ms),
             offers: Offers::new(options.seed as u32),
             phase: Phase::Joining,
-            joined: now,
+            started: now,
+            entered: None,
             upstream: None,
             last_report: None,
             unanswered: 0,
@@ -220,10 +229,9 @@
             AgentEvent::Located { .. } => {}
             AgentEvent::Report(report) => self.report(now, report, out),
             AgentEvent::Left(id) => self.left(now, id.as_deref(), out),
-            AgentEvent::WasKnown => {
-                if self.phase == Phase::Joining {
-                    self.set_phase(now, Phase::Serving, out);
-                }
+            AgentEvent::Entered { was_known } => {
+                self.entered = Some(if was_known { now - JOINING_MS } else { now });
+                self.tick(now, out);
             }
             AgentEvent::Tick => self.tick(now, out),
             AgentEvent::Gossip(event) => self.spread(now, event, out),
@@ -377,7 +385,7 @@
         let is_draining = report.is_draining;
         self.upstream = Some(report);
         let phase = match self.phase {
-            Phase::Joining if !is_draining && now.since(self.joined) < JOINING_MS => Phase::Joining,
+            Phase::Joining if !is_draining && !self.is_known(now) => Phase::Joining,
             _ if is_draining => Phase::Draining,
             _ => Phase::Serving,
         };
@@ -407,12 +415,20 @@
             };
             self.pass_on(now, offer.search, &segment, Some(opening.packet), out);
         }
-        if self.phase == Phase::Joining && now.since(self.joined) >= JOINING_MS {
+        if self.phase == Phase::Joining && self.is_known(now) {
             self.phase = Phase::Serving;
         }
         self.publish(now, out);
     }
 
+    /// Returns whether every process knows the agent by now.
+    fn is_known(&self, now: TimeMs) -> bool {
+        match self.entered {
+            Some(entered) => now.since(entered) >= JOINING_MS,
+            None => now.since(self.started) >= JOINING_LIMIT_MS,
+        }
+    }
+
     fn set_phase(&mut self, now: TimeMs, phase: Phase, out: &mut Vec<AgentAction>) {
         self.phase = phase;
         self.publish(now, out);
@@ -439,7 +455,7 @@
     /// Returns no weight for an upstream that shows no life.
     fn weight(&self, now: TimeMs) -> Weight {
         let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
-        let last = self.last_report.unwrap_or(self.joined);
+        let last = self.last_report.unwrap_or(self.started);
         if now.since(last) > limit || self.unanswered >= MAX_UNANSWERED {
             Weight::NONE
         } else {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -12,7 +12,7 @@
 use crate::placement::DomainTag;
 use crate::route::{Configuration, RouteTable};
 use crate::segment::{Segment, SegmentKind};
-use crate::view::{Quest, SILENT_AFTER_MS};
+use crate::view::Quest;
 
 /// Time after the last answer of the platform store in which the routes count as current: a watch
 /// answers or ends before.
@@ -59,8 +59,8 @@
     /// Addresses that were routes of an earlier version, sorted.
     dropped_routes: Vec<SocketAddr>,
     confirmed: Option<TimeMs>,
-    /// Since when the directory was known.
-    settled: Option<TimeMs>,
+    /// The directory was read in this life.
+    is_settled: bool,
     located: HashMap<FlowKey, LocatedFlow>,
     last_expiry: TimeMs,
 }
@@ -74,7 +74,7 @@
             routes: RouteTable::default(),
             dropped_routes: Vec::new(),
             confirmed: None,
-            settled: None,
+            is_settled: false,
             located: HashMap::new(),
             last_expiry: TimeMs::default(),
         }
@@ -93,14 +93,12 @@
     /// Returns whether packets can be placed.
     pub fn is_ready(&self, now: TimeMs) -> bool {
         let has_routes = self.routes.configuration().is_some();
-        has_routes && self.settled.is_some() && self.gossip.view().live_agents(now) > 0
+        has_routes && self.is_settled && self.gossip.view().live_agents(now) > 0
     }
 
     /// Takes an event of the gossip.
     pub fn gossip_event(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<GossipAction>) {
-        if matches!(event, GossipEvent::Directory(_)) && self.settled.is_none() {
-            self.settled = Some(now);
-        }
+        self.is_settled |= matches!(event, GossipEvent::Directory(_));
         self.gossip.handle(now, event, out);
     }
 
@@ -172,7 +170,7 @@
             SegmentKind::Accepting => return BalancerDecision::Drop(ResultCode::PacketMalformed),
         };
         let Some(to) = self.choose(now, segment, &search, copy) else {
-            return self.nobody_left(now, segment);
+            return self.nobody_left(&search, segment);
         };
         search.visited.clear();
         BalancerDecision::Forward { to, search }
@@ -188,7 +186,7 @@
         self.located.remove(&segment.flow);
         match self.next_agent(now, segment, &search) {
             Some(to) => BalancerDecision::Forward { to, search },
-            None => self.nobody_left(now, segment),
+            None => self.nobody_left(&search, segment),
         }
     }
 
@@ -256,22 +254,20 @@
         BalancerDecision::Drop(ResultCode::NotFound)
     }
 
-    /// Decides about a packet that every agent returned.
+    /// Decides about a packet that no agent took that could be asked.
     ///
     /// A new flow is refused. An established one is reset only when every agent that may hold it
-    /// was known and asked, or has been unreachable for long.
-    fn nobody_left(&self, now: TimeMs, segment: &Segment) -> BalancerDecision {
-        if segment.kind == SegmentKind::Reset {
+    /// was asked, or has been unreachable for long: the directory names them all, since an agent
+    /// takes no new flows before its entry is there. A balancer that reached few of the agents
+    /// rather doubts its own links.
+    fn nobody_left(&self, search: &Search, segment: &Segment) -> BalancerDecision {
+        let view = self.gossip.view();
+        let has_asked_most = search.visited.len() * 2 > view.agents().count();
+        let may_reset = segment.is_opening() || has_asked_most;
+        if !self.is_settled || !may_reset || segment.kind == SegmentKind::Reset {
             return BalancerDecision::Drop(ResultCode::NoEndpoint);
         }
-        let is_settled = self
-            .settled
-            .is_some_and(|settled| now.since(settled) > SILENT_AFTER_MS);
-        if segment.is_opening() || is_settled {
-            BalancerDecision::Reset(ResultCode::NoEndpoint)
-        } else {
-            BalancerDecision::Drop(ResultCode::NoEndpoint)
-        }
+        BalancerDecision::Reset(ResultCode::NoEndpoint)
     }
 
     fn expire(&mut self, now: TimeMs) {
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -98,6 +98,13 @@
             .filter(|peer| peer.role == PeerRole::Balancer)
     }
 
+    /// Returns the agents that did not leave, whether they can be reached or not.
+    pub fn agents(&self) -> impl Iterator<Item = &Peer> {
+        let has_left = |status: &AgentStatus| status.phase == Phase::Gone;
+        self.peers()
+            .filter(move |peer| peer.agent().is_some_and(|status| !has_left(status)))
+    }
+
     /// Returns how many agents can be reached.
     pub fn live_agents(&self, now: TimeMs) -> usize {
         let agents = self.peers.iter();
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A fleet of state machines with upstreams that keep or return flows, without sockets or clock.
+#![allow(dead_code, reason = "each test file uses a part of the fleet")]
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -215,9 +216,9 @@
         };
         let mut machine = AgentMachine::new(self.now, options);
         let mut actions = Vec::new();
-        if self.directory.contains_key(&number) {
-            machine.handle(self.now, AgentEvent::WasKnown, &mut actions);
-        }
+        let was_known = self.directory.contains_key(&number);
+        let event = AgentEvent::Entered { was_known };
+        machine.handle(self.now, event, &mut actions);
         let node = AgentNode {
             machine,
             service: service_number,
@@ -244,8 +245,8 @@
         let end = self.now + DurationMs(duration_ms);
         while self.now < end {
             self.now = self.now + DurationMs(50);
-            let is_round = self.now.get() % 250 == 0;
-            let is_heartbeat = self.now.get() % HEARTBEAT_MS == 0;
+            let is_round = self.now.get().is_multiple_of(250);
+            let is_heartbeat = self.now.get().is_multiple_of(HEARTBEAT_MS);
             for number in self.agents.keys().copied().collect::<Vec<_>>() {
                 self.agent_event(number, AgentEvent::Tick, None);
                 let is_alive = !self.agents[&number].upstream.is_dead;
@@ -488,20 +489,17 @@
             _ => None,
         };
         let mut actions = Vec::new();
-        let outcome = match answer {
-            Some(answer) => {
-                node.machine
-                    .handle(now, AgentEvent::Sent(answer), &mut actions);
-                Some(Outcome::Taken(number))
-            }
-            None => {
-                if !segment.is_opening() {
-                    upstream.strays += 1;
-                }
-                let event = AgentEvent::Returned { segment, token };
-                node.machine.handle(now, event, &mut actions);
-                None
+        let outcome = if let Some(answer) = answer {
+            let event = AgentEvent::Sent(answer);
+            node.machine.handle(now, event, &mut actions);
+            Some(Outcome::Taken(number))
+        } else {
+            if !segment.is_opening() {
+                upstream.strays += 1;
             }
+            let event = AgentEvent::Returned { segment, token };
+            node.machine.handle(now, event, &mut actions);
+            None
         };
         let (transits, reached) = self.transits(number, actions, Some(segment));
         (transits, outcome.or(reached))
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -160,6 +160,34 @@
     expect_that!(outcome, eq(Outcome::Reset(ResultCode::NoEndpoint)));
 }
 
+// Guards against seconds of silence towards callers after a power loss that ended their flows.
+#[gtest]
+fn flows_that_ended_are_reset_right_after_the_start_of_all_processes() {
+    let mut fleet = Fleet::new(2, 7, 1);
+    let key = flow(1, 0);
+    let (_, number) = fleet.open(1, key).unwrap();
+    for agent in fleet.agents.keys().copied().collect::<Vec<_>>() {
+        fleet.agents.get_mut(&agent).unwrap().upstream.flows.clear();
+        fleet.restart_agent(agent);
+    }
+    fleet.start_balancer(1);
+    fleet.run_for(100);
+    let outcome = fleet.use_flow(1, key, number);
+    expect_that!(outcome, eq(Outcome::Reset(ResultCode::NoEndpoint)));
+}
+
+// Guards against resets of flows that live, by a balancer that is cut off from the agents.
+#[gtest]
+fn a_balancer_that_reaches_nobody_resets_no_flow() {
+    let mut fleet = Fleet::new(1, 6, 1);
+    let key = flow(1, 0);
+    let (_, number) = fleet.open(1, key).unwrap();
+    fleet.cut.extend(100..106);
+    fleet.run_for(4_000);
+    let outcome = fleet.use_flow(1, key, number);
+    expect_that!(outcome, eq(Outcome::Dropped(ResultCode::NoEndpoint)));
+}
+
 // Guards against resets by a balancer that does not know all agents yet.
 #[gtest]
 fn a_balancer_that_just_started_resets_no_flow() {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -319,7 +319,7 @@
 
     fn take_directory(&self, news: DirectoryNews) {
         let event = match news {
-            DirectoryNews::WasKnown => AgentEvent::WasKnown,
+            DirectoryNews::Entered { was_known } => AgentEvent::Entered { was_known },
             DirectoryNews::Listed(peers) => AgentEvent::Gossip(GossipEvent::Directory(peers)),
         };
         self.handle(event, &mut [], None);
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -23,8 +23,11 @@
 /// What the directory tells.
 #[derive(Clone, Debug)]
 pub(crate) enum DirectoryNews {
-    /// The entry of this process was there before it started.
-    WasKnown,
+    /// The directory has the entry of this process.
+    Entered {
+        /// The entry was there before the process started.
+        was_known: bool,
+    },
     /// Processes with an entry.
     Listed(Vec<Peer>),
 }
@@ -87,14 +90,17 @@
             let outcome = self.store.put_if(&self.key, &self.entry, expected).await;
             log::info!(key:% = self.key, code:% = outcome.code(); "relay: Directory entry written.");
             match outcome {
-                WriteOutcome::Accepted(_) => return,
+                WriteOutcome::Accepted(_) => {
+                    take(DirectoryNews::Entered { was_known: false });
+                    return;
+                }
                 WriteOutcome::Conflict { theirs } => {
                     let theirs = match theirs {
                         Some(theirs) => Some(theirs),
                         None => self.store.get(&self.key).await.unwrap_or_default(),
                     };
                     if theirs.as_ref().is_some_and(|it| it.value == self.entry) {
-                        take(DirectoryNews::WasKnown);
+                        take(DirectoryNews::Entered { was_known: true });
                         return;
                     }
                     expected = theirs.map_or(Version::NONE, |it| it.version);
