Let loaded upstreams leave new flows to others

Cause: new flows went to the caller's failure domain whatever its load.

Change: an agent counts the flows on which its upstream owes an answer, tells the smoothed count for each slot with its gossip, and takes a smaller part of the new flows in its place the higher that load is. The order of established flows stays as it was.

Ruled out: the agents of crashed upstreams; they got no new flows any more.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, Phase, ResultCode, ServiceName, TimeMs, Weight};
+use hawthorntide_types::{
+    DurationMs, PerMille, Phase, ResultCode, ServiceName, SlotCount, TimeMs, Weight,
+};
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::held::HeldFlows;
@@ -30,6 +32,13 @@
 /// Opening packets in a row without an answer after which the upstream gets no new flows.
 const MAX_UNANSWERED: u32 = 3;
 
+/// Part of the load that the latest measurement makes up, in thousandths: the load follows a change
+/// within a second.
+const LOAD_GAIN: u32 = 300;
+
+/// Slots of an upstream that has not told them yet.
+const DEFAULT_SLOTS: u32 = 2;
+
 /// Agents that a packet visits at most.
 const MAX_VISITED: usize = 96;
 
@@ -61,6 +70,8 @@
     pub is_draining: bool,
     /// Time for which the upstream is still slow after its start.
     pub cold_for_ms: u64,
+    /// Requests that it works on at the same time.
+    pub slots: SlotCount,
 }
 
 impl UpstreamReport {
@@ -116,6 +127,8 @@
     },
     /// Time passed.
     Tick,
+    /// The time to measure the load came.
+    Measure,
     /// Event of the gossip.
     Gossip(GossipEvent),
 }
@@ -176,6 +189,8 @@
     upstream: Option<UpstreamReport>,
     last_report: Option<TimeMs>,
     unanswered: u32,
+    /// Requests at the upstream for each thousand slots, smoothed.
+    load: u32,
 }
 
 impl AgentMachine {
@@ -193,6 +208,7 @@
             upstream: None,
             last_report: None,
             unanswered: 0,
+            load: 0,
         }
     }
 
@@ -235,6 +251,10 @@
                 self.tick(now, out);
             }
             AgentEvent::Tick => self.tick(now, out),
+            AgentEvent::Measure => {
+                self.measure();
+                self.tick(now, out);
+            }
             AgentEvent::Gossip(event) => self.spread(now, event, out),
         }
     }
@@ -452,14 +472,26 @@
             service: self.service.clone(),
             phase: self.phase,
             weight: self.weight(now),
+            load: PerMille(u16::try_from(self.load).unwrap_or(u16::MAX)),
         };
-        if self.gossip.own().agent() == Some(&status) {
-            return;
+        let told = self.gossip.own().agent();
+        if !told.is_some_and(|told| told.is_same_state(&status)) {
+            out.push(AgentAction::StatusChanged(status.clone()));
         }
-        out.push(AgentAction::StatusChanged(status.clone()));
         self.spread(now, GossipEvent::OwnRole(PeerRole::Agent(status)), out);
     }
 
+    fn measure(&mut self) {
+        let reported = self.upstream.as_ref().map_or(0, |it| it.slots.get());
+        let slots = if reported == 0 {
+            DEFAULT_SLOTS
+        } else {
+            reported
+        };
+        let measured = self.flows.busy_flows() * 1_000 / slots;
+        self.load = (self.load * (1_000 - LOAD_GAIN) + measured * LOAD_GAIN) / 1_000;
+    }
+
     /// Returns no weight for an upstream that shows no life.
     fn weight(&self, now: TimeMs) -> Weight {
         let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -166,10 +166,11 @@
 
     /// Tells a change of the own state to all balancers at once.
     fn change_role(&mut self, now: TimeMs, role: PeerRole, out: &mut Vec<GossipAction>) {
-        if self.own.role == role {
+        let is_same = self.own.role.is_same_state(&role);
+        self.own.role = role;
+        if is_same {
             return;
         }
-        self.own.role = role;
         self.beat(now);
         let message = PeerMessage::Gossip {
             wants_answer: false,
--- a/crates/opaque/src/held.rs
+++ b/crates/opaque/src/held.rs
@@ -10,6 +10,9 @@
 /// Bytes that may be on their way between the ends of a flow: sixteen packets each way, twice.
 const SEQUENCE_WINDOW: u32 = 76_800;
 
+/// Time after which a request whose answer was not seen no longer counts as work.
+const REQUEST_LIMIT_MS: DurationMs = DurationMs(10_000);
+
 /// Time between two passes over all flows for those that ended.
 const EXPIRY_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
@@ -28,12 +31,16 @@
 struct HeldFlow {
     hold: Hold,
     last_packet: TimeMs,
+    /// Since when the upstream owes an answer.
+    busy_since: Option<TimeMs>,
 }
 
 /// Flows that the upstream holds.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldFlows {
     flows: HashMap<FlowKey, HeldFlow>,
+    /// Flows on which the upstream owes an answer.
+    busy_flows: u32,
     idle_ms: DurationMs,
     last_expiry: TimeMs,
 }
@@ -42,6 +49,7 @@
     pub(crate) fn new(idle_ms: DurationMs) -> Self {
         Self {
             flows: HashMap::new(),
+            busy_flows: 0,
             idle_ms,
             last_expiry: TimeMs::default(),
         }
@@ -55,12 +63,22 @@
         self.flows.contains_key(flow)
     }
 
+    /// Returns how many flows wait for an answer of the upstream: its work and its queue.
+    pub(crate) const fn busy_flows(&self) -> u32 {
+        self.busy_flows
+    }
+
     pub(crate) fn remove(&mut self, flow: &FlowKey) {
-        self.flows.remove(flow);
+        if let Some(removed) = self.flows.remove(flow)
+            && removed.busy_since.is_some()
+        {
+            self.busy_flows -= 1;
+        }
     }
 
     pub(crate) fn clear(&mut self) {
         self.flows.clear();
+        self.busy_flows = 0;
     }
 
     /// Takes a packet that the upstream sent; returns whether it accepts a flow by it.
@@ -69,13 +87,9 @@
         match segment.kind {
             SegmentKind::Accepting => {
                 let expected = segment.sequence.wrapping_add(1);
-                let hold = Hold::Accepting { expected };
-                let is_new = self.put(now, segment.flow, hold);
-                return is_new;
-            }
-            SegmentKind::Reset => {
-                self.flows.remove(&segment.flow);
+                return self.put(now, segment, Hold::Accepting { expected });
             }
+            SegmentKind::Reset => self.remove(&segment.flow),
             SegmentKind::Established => {
                 let end = segment.end();
                 let hold = match self.flows.get(&segment.flow).map(|flow| flow.hold) {
@@ -84,7 +98,7 @@
                     }
                     _ => Hold::Open { end },
                 };
-                self.put(now, segment.flow, hold);
+                self.put(now, segment, hold);
             }
             SegmentKind::Opening { .. } => {}
         }
@@ -110,16 +124,29 @@
         };
         if is_ours {
             flow.last_packet = now;
+            if segment.payload_bytes > 0 && flow.busy_since.is_none() {
+                flow.busy_since = Some(now);
+                self.busy_flows += 1;
+            }
         }
         is_ours
     }
 
-    fn put(&mut self, now: TimeMs, key: FlowKey, hold: Hold) -> bool {
+    /// Enters what a packet of the upstream tells of its flow; returns whether the flow is new.
+    fn put(&mut self, now: TimeMs, segment: &Segment, hold: Hold) -> bool {
+        let known = self.flows.get(&segment.flow);
+        let is_new = known.is_none();
+        let mut busy_since = known.and_then(|flow| flow.busy_since);
+        if segment.payload_bytes > 0 && busy_since.take().is_some() {
+            self.busy_flows -= 1;
+        }
         let flow = HeldFlow {
             hold,
             last_packet: now,
+            busy_since,
         };
-        self.flows.insert(key, flow).is_none()
+        self.flows.insert(segment.flow, flow);
+        is_new
     }
 
     fn expire(&mut self, now: TimeMs) {
@@ -128,8 +155,15 @@
         }
         self.last_expiry = now;
         let idle_ms = self.idle_ms;
-        self.flows
-            .retain(|_, flow| now.since(flow.last_packet) <= idle_ms);
+        let mut busy_flows = 0;
+        self.flows.retain(|_, flow| {
+            let is_alive = now.since(flow.last_packet) <= idle_ms;
+            let is_owed = |since: &TimeMs| now.since(*since) <= REQUEST_LIMIT_MS;
+            flow.busy_since = flow.busy_since.filter(is_owed);
+            busy_flows += u32::from(is_alive && flow.busy_since.is_some());
+            is_alive
+        });
+        self.busy_flows = busy_flows;
     }
 }
 
--- a/crates/opaque/src/peer.rs
+++ b/crates/opaque/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hawthorntide_types::{FailureDomain, Incarnation, Phase, ServiceName, Weight};
+use hawthorntide_types::{FailureDomain, Incarnation, PerMille, Phase, ServiceName, Weight};
 use serde::{Deserialize, Serialize};
 
 /// What an agent tells of its upstream.
@@ -14,6 +14,26 @@
     pub phase: Phase,
     /// Part of the new flows that the upstream takes.
     pub weight: Weight,
+    /// Requests at the upstream for each thousand slots, smoothed.
+    pub load: PerMille,
+}
+
+impl AgentStatus {
+    /// Returns whether both differ in nothing but the load, which changes all the time.
+    pub(crate) fn is_same_state(&self, other: &Self) -> bool {
+        (&self.service, self.phase, self.weight) == (&other.service, other.phase, other.weight)
+    }
+}
+
+impl PeerRole {
+    /// Returns whether both differ in nothing but the load.
+    pub(crate) fn is_same_state(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Balancer, Self::Balancer) => true,
+            (Self::Agent(status), Self::Agent(other)) => status.is_same_state(other),
+            _ => false,
+        }
+    }
 }
 
 /// Role of a process.
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -152,7 +152,7 @@
         if !peer.is_newer_than(&known.peer) {
             return Learned::Stale;
         }
-        let is_changed = known.peer.role != peer.role
+        let is_changed = !known.peer.role.is_same_state(&peer.role)
             || known.peer.incarnation != peer.incarnation
             || !known.is_confirmed;
         known.domain = DomainTag::of(&peer.failure_domain);
@@ -176,23 +176,31 @@
 
     /// Returns the agent that is asked next.
     ///
-    /// New flows go to serving agents of the service only. Established ones may be with any agent
-    /// that can be reached, since the services of a route change; those of the service come first.
+    /// New flows go to serving agents of the service only; loaded ones leave a part of them to the
+    /// others, unless all are. Established flows may be with any agent that can be reached, since
+    /// the services of a route change; those of the service come first.
     pub(crate) fn next_agent(&self, now: TimeMs, quest: Quest<'_>) -> Option<SocketAddr> {
         let mut best = None;
         for known in &self.peers {
             let Some(status) = known.live_agent(now) else {
                 continue;
             };
-            let is_of_service = status.service == *quest.service;
             if quest.visited.contains(&known.peer.address) {
                 continue;
             }
+            let is_of_service = status.service == *quest.service;
             let rank = rank(quest.flow, known.peer.address);
-            if quest.is_opening && !(is_of_service && takes(status, rank)) {
-                continue;
-            }
-            let place = (is_of_service, known.domain == quest.near, rank);
+            let is_near = known.domain == quest.near;
+            let place = if quest.is_opening {
+                let share = share_of(status);
+                if !is_of_service || share == 0 {
+                    continue;
+                }
+                let takes = rank.rotate_right(17) % 1000 < share;
+                (takes, if takes { u64::from(is_near) } else { share }, rank)
+            } else {
+                (is_of_service, u64::from(is_near), rank)
+            };
             if best.is_none_or(|(best, _)| place > best) {
                 best = Some((place, known.peer.address));
             }
@@ -206,9 +214,23 @@
     }
 }
 
-/// Returns whether an agent takes the new flow with this rank; an agent of less than full weight
-/// skips some flows, so that the order of all others stays as it is.
-fn takes(status: &AgentStatus, rank: u64) -> bool {
-    let share = rank.rotate_right(17) % 1000;
-    status.phase == Phase::Serving && share < u64::from(status.weight.get())
+/// Load up to which an upstream takes every new flow that falls to it, in thousandths: above it,
+/// waiting grows faster than load.
+const FREE_LOAD: u64 = 600;
+
+/// Load from which an upstream takes the least part of new flows.
+const FULL_LOAD: u64 = 1_500;
+
+/// Least part of the new flows that a loaded upstream takes, in thousandths.
+const LEAST_SHARE: u64 = 50;
+
+/// Returns the part of the new flows in its place that an agent takes, in thousandths.
+fn share_of(status: &AgentStatus) -> u64 {
+    if status.phase != Phase::Serving {
+        return 0;
+    }
+    let weight = u64::from(status.weight.get());
+    let load = u64::from(status.load.get()).clamp(FREE_LOAD, FULL_LOAD);
+    let room = 1_000 - (load - FREE_LOAD) * 1_000 / (FULL_LOAD - FREE_LOAD);
+    room.max(LEAST_SHARE) * weight / 1_000
 }
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -11,7 +11,8 @@
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
-    DurationMs, Incarnation, Phase, ResultCode, ServiceName, TimeMs, Version, Weight,
+    DurationMs, Incarnation, PerMille, Phase, ResultCode, ServiceName, SlotCount, TimeMs, Version,
+    Weight,
 };
 
 pub const IDLE_MS: DurationMs = DurationMs(60_000);
@@ -74,6 +75,7 @@
         service: service(service_number),
         phase,
         weight: Weight::FULL,
+        load: PerMille(0),
     })
 }
 
@@ -95,6 +97,7 @@
         sequence,
         is_draining,
         cold_for_ms: 0,
+        slots: SlotCount(2),
     }
 }
 
@@ -105,6 +108,8 @@
     pub flows: BTreeMap<FlowKey, (u32, bool)>,
     pub takes_new_flows: bool,
     pub is_dead: bool,
+    /// It takes requests and answers none.
+    pub is_stuck: bool,
     /// Packets of established flows that it got although it does not hold them.
     pub strays: usize,
 }
@@ -256,6 +261,7 @@
                     self.agent_event(number, event, None);
                 }
                 if is_round {
+                    self.agent_event(number, AgentEvent::Measure, None);
                     self.gossip(number, GossipEvent::Round);
                 }
             }
@@ -490,8 +496,10 @@
         };
         let mut actions = Vec::new();
         let outcome = if let Some(answer) = answer {
-            let event = AgentEvent::Sent(answer);
-            node.machine.handle(now, event, &mut actions);
+            if segment.is_opening() || !upstream.is_stuck {
+                let event = AgentEvent::Sent(answer);
+                node.machine.handle(now, event, &mut actions);
+            }
             Some(Outcome::Taken(number))
         } else {
             if !segment.is_opening() {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -14,7 +14,7 @@
     mark_for_upstream, read_from_caller, read_from_upstream,
 };
 use hawthorntide_store::{ObjectStore, StoreOptions};
-use hawthorntide_types::{DurationMs, Phase, ServiceName, Weight};
+use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -87,6 +87,7 @@
             service: options.service.clone(),
             phase: Phase::Joining,
             weight: Weight::FULL,
+            load: PerMille(0),
         }));
         let store = ObjectStore::open_with(
             process.store_address,
@@ -226,7 +227,8 @@
             AgentAction::StatusChanged(status) => log::info!(
                 service:% = status.service,
                 phase:% = status.phase,
-                weight:% = status.weight;
+                weight:% = status.weight,
+                load:% = status.load;
                 "relay: Status changed."
             ),
             AgentAction::Gossip(action) => carry_out(&self.peers, vec![action], buffer),
@@ -301,7 +303,7 @@
         let mut rounds = interval(GOSSIP_INTERVAL_MS.into());
         loop {
             rounds.tick().await;
-            self.handle(AgentEvent::Tick, &mut [], None);
+            self.handle(AgentEvent::Measure, &mut [], None);
             self.handle(AgentEvent::Gossip(GossipEvent::Round), &mut [], None);
         }
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -86,7 +86,8 @@
             failure_domain:% = peer.failure_domain,
             service:% = status.service,
             phase:% = status.phase,
-            weight:% = status.weight;
+            weight:% = status.weight,
+            load:% = status.load;
             "relay: Agent known."
         ),
     }
