Notice ended upstreams and silent VMs sooner, pass flows on from crowded ones

Changes: an agent whose upstream shows no life for 200 ms after a packet that asks for an answer tries a connection to it; refused means ended: it resets the flows that it knows and passes all packets on. A process that was not heard of for 750 ms is asked directly and counts as silent after 1.5 s. An agent passes an opening packet on, twice at most, when its request would wait.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -29,6 +29,13 @@
 /// Heartbeats of the upstream that may be missed before it gets no new flows.
 const MISSED_HEARTBEATS: u64 = 3;
 
+/// Time without a sign of life after a packet that asks for an answer after which the agent looks
+/// whether the upstream still runs; most requests are answered sooner.
+const SUSPECT_AFTER_MS: DurationMs = DurationMs(200);
+
+/// Time between two looks.
+const PROBE_INTERVAL_MS: DurationMs = DurationMs(500);
+
 /// Opening packets in a row without an answer after which the upstream gets no new flows.
 const MAX_UNANSWERED: u32 = 3;
 
@@ -39,6 +46,9 @@
 /// Slots of an upstream that has not told them yet.
 const DEFAULT_SLOTS: u32 = 2;
 
+/// Agents that pass a new flow on because its request would wait there; the next one takes it.
+const MAX_CROWDED_HOPS: usize = 2;
+
 /// Agents that a packet visits at most.
 const MAX_VISITED: usize = 96;
 
@@ -129,6 +139,11 @@
     Tick,
     /// The time to measure the load came.
     Measure,
+    /// The upstream's address was looked at.
+    Probed {
+        /// The VM answers, and no process listens there.
+        is_refused: bool,
+    },
     /// Event of the gossip.
     Gossip(GossipEvent),
 }
@@ -168,6 +183,15 @@
     },
     /// Drops the packet.
     Drop(ResultCode),
+    /// Tells the caller of a flow that ended with its upstream.
+    Reset {
+        /// Flow.
+        flow: FlowKey,
+        /// What the caller acknowledges next.
+        acknowledged: u32,
+    },
+    /// Looks whether a process listens at the upstream's address.
+    Probe,
     /// The phase or weight that other processes see changed.
     StatusChanged(AgentStatus),
     /// Action of the gossip.
@@ -191,6 +215,11 @@
     unanswered: u32,
     /// Requests at the upstream for each thousand slots, smoothed.
     load: u32,
+    /// Since when a packet was delivered without a sign of life after it.
+    waiting_since: Option<TimeMs>,
+    last_probe: Option<TimeMs>,
+    /// The upstream's process does not run.
+    is_dead: bool,
 }
 
 impl AgentMachine {
@@ -209,6 +238,9 @@
             last_report: None,
             unanswered: 0,
             load: 0,
+            waiting_since: None,
+            last_probe: None,
+            is_dead: false,
         }
     }
 
@@ -224,7 +256,7 @@
 
     /// Returns whether the machine waits for answers of the upstream and wants ticks.
     pub fn awaits_answers(&self) -> bool {
-        self.offers.has_openings()
+        self.offers.has_openings() || (self.waiting_since.is_some() && !self.is_dead)
     }
 
     /// Returns the phase of the upstream.
@@ -255,6 +287,7 @@
                 self.measure();
                 self.tick(now, out);
             }
+            AgentEvent::Probed { is_refused } => self.probed(now, is_refused, out),
             AgentEvent::Gossip(event) => self.spread(now, event, out),
         }
     }
@@ -271,6 +304,10 @@
             out.push(AgentAction::Drop(ResultCode::PacketMalformed));
             return;
         }
+        if self.is_dead {
+            self.pass_on(now, search, segment, None, out);
+            return;
+        }
         if self.flows.contains(&segment.flow) {
             if self.flows.owns(now, segment) {
                 if !search.visited.is_empty() && !segment.is_opening() {
@@ -289,13 +326,43 @@
             self.deliver(now, search, segment, None, out);
             return;
         }
-        if self.takes_new_flows() && search.service == self.service {
+        let is_for_us = self.takes_new_flows() && search.service == self.service;
+        if is_for_us && !self.leaves_to_others(now, &search, segment) {
             self.deliver(now, search, segment, Some(packet), out);
         } else {
             self.pass_on(now, search, segment, None, out);
         }
     }
 
+    /// Returns whether the request of a new flow would wait here and another agent may be free.
+    fn leaves_to_others(&self, now: TimeMs, search: &Search, segment: &Segment) -> bool {
+        let recent = self.offers.recent_openings();
+        let expected = recent.filter(|flow| !self.flows.is_busy(flow)).count();
+        let requests = self.flows.busy_flows() as usize + expected;
+        if requests <= self.slots() as usize || search.visited.len() >= MAX_CROWDED_HOPS {
+            return false;
+        }
+        let mut visited = search.visited.clone();
+        visited.push(self.gossip.own().address);
+        let quest = Quest {
+            flow: &segment.flow,
+            near: search.near,
+            service: &search.service,
+            visited: &visited,
+            is_opening: true,
+        };
+        self.gossip.view().next_agent(now, quest).is_some()
+    }
+
+    fn slots(&self) -> u32 {
+        let reported = self.upstream.as_ref().map_or(0, |it| it.slots.get());
+        if reported == 0 {
+            DEFAULT_SLOTS
+        } else {
+            reported
+        }
+    }
+
     fn deliver(
         &mut self,
         now: TimeMs,
@@ -309,8 +376,12 @@
             search,
         };
         let token = self.offers.add(offer);
+        if segment.is_opening() || segment.payload_bytes > 0 || segment.is_last {
+            self.waiting_since.get_or_insert(now);
+        }
         if let Some(packet) = opening {
             self.offers.await_answer(OpenOffer {
+                flow: segment.flow,
                 offered: now,
                 token,
                 packet: packet.to_vec(),
@@ -320,7 +391,7 @@
     }
 
     fn sent(&mut self, now: TimeMs, segment: &Segment, out: &mut Vec<AgentAction>) {
-        self.unanswered = 0;
+        self.lives();
         let is_accepted = self.flows.sent(now, segment);
         out.push(AgentAction::Reply);
         if is_accepted {
@@ -357,7 +428,7 @@
     }
 
     fn returned(&mut self, now: TimeMs, segment: &Segment, token: u32, out: &mut Vec<AgentAction>) {
-        self.unanswered = 0;
+        self.lives();
         if !segment.is_opening() {
             self.flows.remove(&segment.flow);
         }
@@ -406,10 +477,10 @@
         }
         let is_reborn = known.is_some_and(|known| !report.is_same_life(known));
         if is_reborn {
-            self.flows.clear();
+            self.end_flows(out);
         }
         self.last_report = Some(now);
-        self.unanswered = 0;
+        self.lives();
         let is_draining = report.is_draining;
         self.upstream = Some(report);
         let phase = match self.phase {
@@ -420,6 +491,41 @@
         self.set_phase(now, phase, out);
     }
 
+    /// Notes a sign of life of the upstream.
+    const fn lives(&mut self) {
+        self.unanswered = 0;
+        self.waiting_since = None;
+        self.is_dead = false;
+    }
+
+    fn probed(&mut self, now: TimeMs, is_refused: bool, out: &mut Vec<AgentAction>) {
+        if is_refused && self.waiting_since.is_some() {
+            self.is_dead = true;
+            self.end_flows(out);
+            self.publish(now, out);
+        }
+    }
+
+    /// Tells the callers of all flows that these ended with the upstream's life.
+    fn end_flows(&mut self, out: &mut Vec<AgentAction>) {
+        let flows = self.flows.take_all().into_iter();
+        out.extend(flows.map(|(flow, acknowledged)| AgentAction::Reset { flow, acknowledged }));
+    }
+
+    /// Looks after an upstream that shows no life although packets wait there.
+    fn suspect(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
+        let is_silent = self
+            .waiting_since
+            .is_some_and(|since| now.since(since) >= SUSPECT_AFTER_MS);
+        let is_due = self
+            .last_probe
+            .is_none_or(|last| now.since(last) >= PROBE_INTERVAL_MS);
+        if is_silent && is_due && !self.is_dead {
+            self.last_probe = Some(now);
+            out.push(AgentAction::Probe);
+        }
+    }
+
     fn left(&mut self, now: TimeMs, id: Option<&str>, out: &mut Vec<AgentAction>) {
         let known = self.upstream.as_ref();
         if id.is_none_or(|id| known.is_none_or(|known| known.id == id)) {
@@ -443,6 +549,7 @@
             };
             self.pass_on(now, offer.search, &segment, Some(opening.packet), out);
         }
+        self.suspect(now, out);
         if self.phase == Phase::Joining && self.is_known(now) {
             self.phase = Phase::Serving;
         }
@@ -496,7 +603,7 @@
     fn weight(&self, now: TimeMs) -> Weight {
         let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
         let last = self.last_report.unwrap_or(self.started);
-        if now.since(last) > limit || self.unanswered >= MAX_UNANSWERED {
+        if self.is_dead || now.since(last) > limit || self.unanswered >= MAX_UNANSWERED {
             Weight::NONE
         } else {
             Weight::FULL
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -151,14 +151,15 @@
         }
     }
 
-    /// Tells each process that only the directory names that this one exists.
+    /// Asks each process that only the directory names, or of which no news came for some time.
     fn greet(&mut self, now: TimeMs, out: &mut Vec<GossipAction>) {
-        let unconfirmed = self.view.known().iter();
-        let unconfirmed: Vec<_> = unconfirmed
-            .filter(|known| !known.is_confirmed && !known.is_silent(now))
+        let own = self.own.address;
+        let doubtful = self.view.known().iter();
+        let doubtful: Vec<_> = doubtful
+            .filter(|known| known.is_doubtful(now) && known.peer.address != own)
             .map(|known| known.peer.address)
             .collect();
-        for to in unconfirmed {
+        for to in doubtful {
             let message = self.message(now, true);
             out.push(GossipAction::Send { to, message });
         }
--- a/crates/opaque/src/held.rs
+++ b/crates/opaque/src/held.rs
@@ -68,6 +68,12 @@
         self.busy_flows
     }
 
+    pub(crate) fn is_busy(&self, flow: &FlowKey) -> bool {
+        self.flows
+            .get(flow)
+            .is_some_and(|flow| flow.busy_since.is_some())
+    }
+
     pub(crate) fn remove(&mut self, flow: &FlowKey) {
         if let Some(removed) = self.flows.remove(flow)
             && removed.busy_since.is_some()
@@ -76,9 +82,16 @@
         }
     }
 
-    pub(crate) fn clear(&mut self) {
-        self.flows.clear();
+    /// Forgets all flows; returns each with what its caller acknowledges next.
+    pub(crate) fn take_all(&mut self) -> Vec<(FlowKey, u32)> {
         self.busy_flows = 0;
+        let flows = self.flows.drain();
+        flows
+            .map(|(key, flow)| match flow.hold {
+                Hold::Accepting { expected } => (key, expected),
+                Hold::Open { end } => (key, end),
+            })
+            .collect()
     }
 
     /// Takes a packet that the upstream sent; returns whether it accepts a flow by it.
--- a/crates/opaque/src/offer.rs
+++ b/crates/opaque/src/offer.rs
@@ -23,6 +23,7 @@
 /// Opening packet that the upstream has not answered yet.
 #[derive(Clone, Debug)]
 pub(crate) struct OpenOffer {
+    pub(crate) flow: FlowKey,
     pub(crate) offered: TimeMs,
     pub(crate) token: u32,
     pub(crate) packet: Vec<u8>,
@@ -95,6 +96,11 @@
             .find(|offer| offer.flow == *flow)
     }
 
+    /// Returns the flows of the opening packets of the last moment, answered or not.
+    pub(crate) fn recent_openings(&self) -> impl Iterator<Item = &FlowKey> {
+        self.openings.iter().map(|opening| &opening.flow)
+    }
+
     /// Returns whether opening packets wait for an answer.
     pub(crate) fn has_openings(&self) -> bool {
         !self.openings.is_empty()
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -8,8 +8,12 @@
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::placement::{DomainTag, rank};
 
-/// Time without news of a process after which it counts as unreachable: ten rounds of gossip.
-pub const SILENT_AFTER_MS: DurationMs = DurationMs(2_500);
+/// Time without news of a process after which it counts as unreachable: six rounds of gossip, in
+/// the last three of which it was asked directly.
+pub const SILENT_AFTER_MS: DurationMs = DurationMs(1_500);
+
+/// Time without news of a process after which it is asked directly in each round.
+const ASK_AFTER_MS: DurationMs = DurationMs(750);
 
 /// Time in which a process that only the directory names answers a greeting; a process starts
 /// within half of it.
@@ -74,6 +78,12 @@
         now.since(self.heard) > limit
     }
 
+    /// Returns whether the process should be asked directly whether it lives.
+    pub(crate) fn is_doubtful(&self, now: TimeMs) -> bool {
+        let is_overdue = now.since(self.heard) > ASK_AFTER_MS;
+        (is_overdue || !self.is_confirmed) && !self.is_silent(now)
+    }
+
     /// Returns the status of an agent that can be reached.
     fn live_agent(&self, now: TimeMs) -> Option<&AgentStatus> {
         let status = self.peer.agent()?;
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -154,6 +154,10 @@
     /// Processes that get and send nothing.
     pub cut: BTreeSet<u8>,
     pub hops: usize,
+    /// Flows whose callers agents told of their end.
+    pub reset_flows: Vec<FlowKey>,
+    /// Agents that looked at their upstream's address.
+    pub probed: Vec<u8>,
 }
 
 impl Fleet {
@@ -168,6 +172,8 @@
             lives: 0,
             cut: BTreeSet::new(),
             hops: 0,
+            reset_flows: Vec::new(),
+            probed: Vec::new(),
         };
         for number in 0..agents {
             fleet.add_agent(100 + number, number % services);
@@ -455,6 +461,8 @@
                 }
                 AgentAction::Drop(code) => outcome = Some(Outcome::Dropped(code)),
                 AgentAction::Gossip(action) => transits.extend(sends(number, vec![action])),
+                AgentAction::Reset { flow, .. } => self.reset_flows.push(flow),
+                AgentAction::Probe => self.probed.push(number),
                 AgentAction::Reply | AgentAction::StatusChanged(_) => {}
             }
         }
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -11,11 +11,11 @@
 };
 use hawthorntide_platform::{
     HttpEdge, MAX_PACKET_BYTES, PlatformStore, ProcessState, UpstreamHeartbeat, UpstreamPacket,
-    mark_for_upstream, read_from_caller, read_from_upstream,
+    mark_for_upstream, read_from_caller, read_from_upstream, reset_to_caller,
 };
 use hawthorntide_store::{ObjectStore, StoreOptions};
 use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, timeout};
@@ -27,6 +27,9 @@
 /// Pause between two looks at opening packets that wait for an answer.
 const ANSWER_CHECK: Duration = Duration::from_millis(20);
 
+/// Longest time for a connection within the VM.
+const PROBE_TIME: Duration = Duration::from_millis(300);
+
 /// Longest time for removing the entry from the directory at the end.
 const LEAVE_TIME: Duration = Duration::from_millis(1_500);
 
@@ -75,8 +78,10 @@
     service: ServiceName,
     upstream_address: SocketAddr,
     caller_port: u16,
-    /// An opening packet waits for an answer of the upstream.
+    /// A packet waits for an answer of the upstream.
     offered: Notify,
+    /// The upstream shows no life.
+    suspected: Notify,
 }
 
 impl RelayAgent {
@@ -114,6 +119,7 @@
             upstream_address: options.upstream_address,
             caller_port: options.caller_port,
             offered: Notify::new(),
+            suspected: Notify::new(),
         });
         core.handle(
             AgentEvent::Gossip(GossipEvent::Seeds(process.seed_addresses())),
@@ -136,6 +142,7 @@
         tasks.spawn(Arc::clone(&core).take_messages());
         tasks.spawn(Arc::clone(&core).gossip_rounds());
         tasks.spawn(Arc::clone(&core).check_answers());
+        tasks.spawn(Arc::clone(&core).probe_upstream());
         let directory = Directory::new(store, &own);
         if let Some(directory) = directory.clone() {
             let core = Arc::clone(&core);
@@ -224,6 +231,12 @@
                     log::info!(flow:% = segment.flow, code:% = code; "relay: Packet dropped.");
                 }
             }
+            AgentAction::Reset { flow, acknowledged } => {
+                log::info!(flow:% = flow; "relay: Flow ended with its upstream.");
+                let caller = SocketAddr::new(flow.caller.ip(), self.caller_port);
+                send(&self.peers, &reset_to_caller(flow, acknowledged), caller);
+            }
+            AgentAction::Probe => self.suspected.notify_one(),
             AgentAction::StatusChanged(status) => log::info!(
                 service:% = status.service,
                 phase:% = status.phase,
@@ -319,6 +332,21 @@
         }
     }
 
+    /// Tries a connection to the upstream whenever it shows no life; a VM whose upstream ended
+    /// refuses it.
+    async fn probe_upstream(self: Arc<Self>) {
+        loop {
+            self.suspected.notified().await;
+            let connection = timeout(PROBE_TIME, TcpStream::connect(self.upstream_address)).await;
+            let is_refused = matches!(
+                &connection,
+                Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused
+            );
+            log::info!(upstream:% = self.upstream_address, is_refused; "relay: Upstream looked at.");
+            self.handle(AgentEvent::Probed { is_refused }, &mut [], None);
+        }
+    }
+
     fn take_directory(&self, news: DirectoryNews) {
         let event = match news {
             DirectoryNews::Entered { was_known } => AgentEvent::Entered { was_known },
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -185,7 +185,11 @@
             BalancerDecision::Reset(code) => {
                 self.log_refusal(segment, code, "relay: Flow refused.");
                 let caller = SocketAddr::new(segment.flow.caller.ip(), self.caller_port);
-                send(&self.data, &reset_to_caller(segment), caller);
+                send(
+                    &self.data,
+                    &reset_to_caller(segment.flow, segment.acknowledged),
+                    caller,
+                );
             }
             BalancerDecision::Drop(code) => {
                 self.log_refusal(segment, code, "relay: Packet dropped.");
