Answer callers while agents start, let services of a route help out, count

Change: a new flow is refused only when each agent of its service was asked or was not heard of for 3 s; otherwise its packet is dropped and the caller's next copy asks again. When all agents of the chosen service are loaded or gone, the other services of the route take new flows; the agent tells the balancers.

A test found that balancers then looked for such flows at the wrong service; the packet now says that it was diverted.

--- a/crates/admin/src/metric.rs
+++ b/crates/admin/src/metric.rs
@@ -2,7 +2,16 @@
 
 use std::sync::OnceLock;
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of the buckets of latency histograms, in milliseconds: from a hop within a failure
+/// domain to the longest time that callers wait.
+const LATENCY_BUCKETS_MS: [f64; 12] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 10_000.0,
+];
+
+/// End of the names of latency histograms.
+const LATENCY_SUFFIX: &str = "_ms";
 
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
@@ -10,7 +19,11 @@
 ///
 /// Without it, or when another recorder is installed, the metrics are empty.
 pub fn install_metrics() {
-    HANDLE.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
+    HANDLE.get_or_init(|| {
+        let suffix = Matcher::Suffix(LATENCY_SUFFIX.to_owned());
+        let builder = PrometheusBuilder::new().set_buckets_for_metric(suffix, &LATENCY_BUCKETS_MS);
+        builder.ok()?.install_recorder().ok()
+    });
 }
 
 /// Returns the metrics of the process as Prometheus text.
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
-use crate::held::HeldFlows;
+use crate::held::{FlowChange, HeldFlows};
 use crate::message::Search;
 use crate::offer::{Offer, Offers, OpenOffer};
 use crate::peer::{AgentStatus, Peer, PeerRole};
@@ -190,6 +190,16 @@
         /// What the caller acknowledges next.
         acknowledged: u32,
     },
+    /// The upstream accepted a flow.
+    Accepted {
+        /// Time since its opening packet was delivered.
+        after_ms: DurationMs,
+    },
+    /// The upstream began to answer a request.
+    Answered {
+        /// Time since the request was delivered.
+        after_ms: DurationMs,
+    },
     /// Looks whether a process listens at the upstream's address.
     Probe,
     /// The phase or weight that other processes see changed.
@@ -392,19 +402,23 @@
 
     fn sent(&mut self, now: TimeMs, segment: &Segment, out: &mut Vec<AgentAction>) {
         self.lives();
-        let is_accepted = self.flows.sent(now, segment);
+        let change = self.flows.sent(now, segment);
         out.push(AgentAction::Reply);
-        if is_accepted {
-            self.announce(now, segment.flow, out);
+        match change {
+            Some(FlowChange::Accepted) => self.accepted(now, segment.flow, out),
+            Some(FlowChange::Answered { after_ms }) => out.push(AgentAction::Answered { after_ms }),
+            None => {}
         }
     }
 
-    /// Tells the balancers of the caller's failure domain of a flow that they would look for
-    /// elsewhere first.
-    fn announce(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
-        let Some(offer) = self.offers.awaited(&flow) else {
+    /// Tells the balancers of the caller's failure domain of an accepted flow that they would look
+    /// for elsewhere first.
+    fn accepted(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
+        let Some((offered, offer)) = self.offers.awaited(&flow) else {
             return;
         };
+        let after_ms = now.since(offered);
+        out.push(AgentAction::Accepted { after_ms });
         let near = offer.search.near;
         let view = self.gossip.view();
         let quest = Quest {
@@ -414,7 +428,8 @@
             visited: &[],
             is_opening: false,
         };
-        if view.next_agent(now, quest) == Some(self.gossip.own().address) {
+        let is_first = view.next_agent(now, quest) == Some(self.gossip.own().address);
+        if is_first && !offer.search.is_diverted {
             return;
         }
         for balancer in view.live_balancers(now) {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, Phase, ResultCode, TimeMs};
+use hawthorntide_types::{DurationMs, Phase, ResultCode, ServiceName, TimeMs};
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
@@ -152,13 +152,22 @@
         let Some(route) = self.routes.find(flow.service_address) else {
             return self.without_route(now, segment);
         };
-        let Some(service) = route.service_of(flow) else {
+        let view = self.gossip.view();
+        let own_service = route.service_of(flow);
+        let has_room = |service: &&ServiceName| view.has_room(now, service);
+        let service = if segment.is_opening() {
+            route.services_of(flow).find(has_room).or(own_service)
+        } else {
+            own_service
+        };
+        let Some(service) = service else {
             return BalancerDecision::Drop(ResultCode::NoEndpoint);
         };
         let mut search = Search {
             balancer: self.gossip.own().address,
             near: self.near,
             service: service.clone(),
+            is_diverted: Some(service) != own_service,
             visited: Vec::new(),
         };
         if let Some(to) = self.located_holder(now, flow) {
@@ -170,7 +179,7 @@
             SegmentKind::Accepting => return BalancerDecision::Drop(ResultCode::PacketMalformed),
         };
         let Some(to) = self.choose(now, segment, &search, copy) else {
-            return self.nobody_left(&search, segment);
+            return self.nobody_left(now, &search, segment);
         };
         search.visited.clear();
         BalancerDecision::Forward { to, search }
@@ -186,7 +195,7 @@
         self.located.remove(&segment.flow);
         match self.next_agent(now, segment, &search) {
             Some(to) => BalancerDecision::Forward { to, search },
-            None => self.nobody_left(&search, segment),
+            None => self.nobody_left(now, &search, segment),
         }
     }
 
@@ -256,18 +265,23 @@
 
     /// Decides about a packet that no agent took that could be asked.
     ///
-    /// A new flow is refused. An established one is reset only when every agent that may hold it
+    /// A new flow is refused, unless an agent that could not be asked may be back before the caller
+    /// sends its next copy. An established one is reset only when every agent that may hold it
     /// was asked, or has been unreachable for long: the directory names them all, since an agent
     /// takes no new flows before its entry is there. A balancer that reached few of the agents
     /// rather doubts its own links.
-    fn nobody_left(&self, search: &Search, segment: &Segment) -> BalancerDecision {
+    fn nobody_left(&self, now: TimeMs, search: &Search, segment: &Segment) -> BalancerDecision {
         let view = self.gossip.view();
-        let has_asked_most = search.visited.len() * 2 > view.agents().count();
-        let may_reset = segment.is_opening() || has_asked_most;
-        if !self.is_settled || !may_reset || segment.kind == SegmentKind::Reset {
-            return BalancerDecision::Drop(ResultCode::NoEndpoint);
+        let may_reset = match segment.kind {
+            SegmentKind::Opening { .. } => !view.may_return(now, &search.service, &search.visited),
+            SegmentKind::Established => search.visited.len() * 2 > view.agents().count(),
+            SegmentKind::Accepting | SegmentKind::Reset => false,
+        };
+        if self.is_settled && may_reset {
+            BalancerDecision::Reset(ResultCode::NoEndpoint)
+        } else {
+            BalancerDecision::Drop(ResultCode::NoEndpoint)
         }
-        BalancerDecision::Reset(ResultCode::NoEndpoint)
     }
 
     fn expire(&mut self, now: TimeMs) {
--- a/crates/opaque/src/held.rs
+++ b/crates/opaque/src/held.rs
@@ -35,6 +35,18 @@
     busy_since: Option<TimeMs>,
 }
 
+/// What a packet of the upstream changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FlowChange {
+    /// It accepts a flow that was not held.
+    Accepted,
+    /// It begins the answer to a request.
+    Answered {
+        /// Time since the request.
+        after_ms: DurationMs,
+    },
+}
+
 /// Flows that the upstream holds.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldFlows {
@@ -94,15 +106,20 @@
             .collect()
     }
 
-    /// Takes a packet that the upstream sent; returns whether it accepts a flow by it.
-    pub(crate) fn sent(&mut self, now: TimeMs, segment: &Segment) -> bool {
+    /// Takes a packet that the upstream sent.
+    pub(crate) fn sent(&mut self, now: TimeMs, segment: &Segment) -> Option<FlowChange> {
         self.expire(now);
         match segment.kind {
             SegmentKind::Accepting => {
+                let is_new = !self.contains(&segment.flow);
                 let expected = segment.sequence.wrapping_add(1);
-                return self.put(now, segment, Hold::Accepting { expected });
+                self.put(now, segment, Hold::Accepting { expected });
+                is_new.then_some(FlowChange::Accepted)
+            }
+            SegmentKind::Reset => {
+                self.remove(&segment.flow);
+                None
             }
-            SegmentKind::Reset => self.remove(&segment.flow),
             SegmentKind::Established => {
                 let end = segment.end();
                 let hold = match self.flows.get(&segment.flow).map(|flow| flow.hold) {
@@ -111,11 +128,11 @@
                     }
                     _ => Hold::Open { end },
                 };
-                self.put(now, segment, hold);
+                let after_ms = self.put(now, segment, hold)?;
+                Some(FlowChange::Answered { after_ms })
             }
-            SegmentKind::Opening { .. } => {}
+            SegmentKind::Opening { .. } => None,
         }
-        false
     }
 
     /// Returns whether a packet of a caller is for this upstream's flow.
@@ -145,13 +162,17 @@
         is_ours
     }
 
-    /// Enters what a packet of the upstream tells of its flow; returns whether the flow is new.
-    fn put(&mut self, now: TimeMs, segment: &Segment, hold: Hold) -> bool {
+    /// Enters what a packet of the upstream tells of its flow; returns how long a request waited
+    /// for this answer.
+    fn put(&mut self, now: TimeMs, segment: &Segment, hold: Hold) -> Option<DurationMs> {
         let known = self.flows.get(&segment.flow);
-        let is_new = known.is_none();
         let mut busy_since = known.and_then(|flow| flow.busy_since);
-        if segment.payload_bytes > 0 && busy_since.take().is_some() {
+        let mut waited = None;
+        if segment.payload_bytes > 0
+            && let Some(since) = busy_since.take()
+        {
             self.busy_flows -= 1;
+            waited = Some(now.since(since));
         }
         let flow = HeldFlow {
             hold,
@@ -159,7 +180,7 @@
             busy_since,
         };
         self.flows.insert(segment.flow, flow);
-        is_new
+        waited
     }
 
     fn expire(&mut self, now: TimeMs) {
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -20,6 +20,8 @@
     pub near: DomainTag,
     /// Service that takes the flow if it is new.
     pub service: ServiceName,
+    /// The service helps out, so that balancers look for the flow elsewhere first.
+    pub is_diverted: bool,
     /// Agents whose upstream returned the packet.
     pub visited: Vec<SocketAddr>,
 }
--- a/crates/opaque/src/offer.rs
+++ b/crates/opaque/src/offer.rs
@@ -87,13 +87,13 @@
         None
     }
 
-    /// Returns the opening packet of `flow` that waits for an answer.
-    pub(crate) fn awaited(&self, flow: &FlowKey) -> Option<&Offer> {
-        let openings = self.openings.iter().rev();
-        openings
-            .filter_map(|opening| self.slots[opening.token as usize % OFFER_SLOTS].as_ref())
-            .map(|(_, offer)| offer)
-            .find(|offer| offer.flow == *flow)
+    /// Returns the latest opening packet of `flow` that waits for an answer, and when it was offered.
+    pub(crate) fn awaited(&self, flow: &FlowKey) -> Option<(TimeMs, &Offer)> {
+        let mut openings = self.openings.iter().rev();
+        let opening = openings.find(|opening| opening.flow == *flow)?;
+        let slot = self.slots[opening.token as usize % OFFER_SLOTS].as_ref();
+        let (_, offer) = slot.filter(|(token, _)| *token == opening.token)?;
+        Some((opening.offered, offer))
     }
 
     /// Returns the flows of the opening packets of the last moment, answered or not.
--- a/crates/opaque/src/route.rs
+++ b/crates/opaque/src/route.rs
@@ -70,6 +70,18 @@
         }
         None
     }
+
+    /// Returns the services that may take a new flow: its own one, then the others of the route,
+    /// which help out when that one has no room.
+    pub fn services_of(&self, flow: &FlowKey) -> impl Iterator<Item = &ServiceName> {
+        let own = self.service_of(flow);
+        let others = self.backends.iter();
+        let others = others
+            .filter(|backend| backend.weight > 0)
+            .map(|backend| &backend.service)
+            .filter(move |service| Some(*service) != own);
+        own.into_iter().chain(others)
+    }
 }
 
 impl RouteTable {
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -15,6 +15,9 @@
 /// Time without news of a process after which it is asked directly in each round.
 const ASK_AFTER_MS: DurationMs = DurationMs(750);
 
+/// Time in which a process that ended is back, so that callers had better try again than be refused.
+const RETURN_WITHIN_MS: DurationMs = DurationMs(3_000);
+
 /// Time in which a process that only the directory names answers a greeting; a process starts
 /// within half of it.
 const ANSWER_WITHIN_MS: DurationMs = DurationMs(1_000);
@@ -218,6 +221,31 @@
         best.map(|(_, address)| address)
     }
 
+    /// Returns whether the service has an agent that takes new flows without reserve.
+    pub(crate) fn has_room(&self, now: TimeMs, service: &ServiceName) -> bool {
+        let agents = self.peers.iter().filter_map(|known| known.live_agent(now));
+        agents
+            .filter(|status| status.service == *service)
+            .any(|status| share_of(status) > LEAST_SHARE)
+    }
+
+    /// Returns whether an agent of the service that was not asked may take new flows soon: it was
+    /// heard of lately, or the directory named it lately.
+    pub(crate) fn may_return(
+        &self,
+        now: TimeMs,
+        service: &ServiceName,
+        visited: &[SocketAddr],
+    ) -> bool {
+        self.peers
+            .iter()
+            .filter(|known| now.since(known.heard) <= RETURN_WITHIN_MS)
+            .filter(|known| !visited.contains(&known.peer.address))
+            .filter_map(|known| known.peer.agent())
+            .filter(|status| status.service == *service)
+            .any(|status| matches!(status.phase, Phase::Joining | Phase::Serving))
+    }
+
     fn index(&self, address: SocketAddr) -> Result<usize, usize> {
         self.peers
             .binary_search_by_key(&address, |known| known.peer.address)
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -463,7 +463,10 @@
                 AgentAction::Gossip(action) => transits.extend(sends(number, vec![action])),
                 AgentAction::Reset { flow, .. } => self.reset_flows.push(flow),
                 AgentAction::Probe => self.probed.push(number),
-                AgentAction::Reply | AgentAction::StatusChanged(_) => {}
+                AgentAction::Accepted { .. }
+                | AgentAction::Answered { .. }
+                | AgentAction::Reply
+                | AgentAction::StatusChanged(_) => {}
             }
         }
         (transits, outcome)
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -235,6 +235,7 @@
         balancer: peer_address(1),
         near: hawthorntide_opaque::DomainTag::default(),
         service: common::service(0),
+        is_diverted: false,
         visited: Vec::new(),
     };
     let event = AgentEvent::Forwarded {
--- a/crates/opaque/tests/load.rs
+++ b/crates/opaque/tests/load.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{Fleet, Outcome, flow};
+use common::{Fleet, IDLE_MS, Outcome, flow, opening, service, service_address};
 use googletest::prelude::*;
+use hawthorntide_opaque::{Backend, Configuration, Route};
+use hawthorntide_types::{ResultCode, Version};
 
 /// Opens flows through the balancer, `gap_ms` apart, and returns how many each agent took.
 fn open_many(fleet: &mut Fleet, callers: std::ops::Range<u16>, gap_ms: u64) -> Vec<(u8, usize)> {
@@ -48,7 +50,11 @@
         .filter(|it| near.contains(&it.0))
         .map(|it| it.1)
         .sum();
-    expect_that!(at_loaded, eq(0), "dozens wait there for two slots: {loaded:?}");
+    expect_that!(
+        at_loaded,
+        eq(0),
+        "dozens wait there for two slots: {loaded:?}"
+    );
 }
 
 // Burst of requests everywhere: loaded upstreams must not refuse what nobody else takes either.
@@ -76,3 +82,46 @@
     let most = taken.iter().map(|it| it.1).max();
     expect_that!(most, some(le(4)), "{taken:?}");
 }
+
+// Return after a power loss: callers spend all their tries within milliseconds when each new flow is
+// refused before the agents were heard of.
+#[gtest]
+fn new_flows_are_not_refused_while_agents_start() {
+    let mut fleet = Fleet::new(1, 4, 1);
+    fleet.cut.extend(100..104);
+    fleet.start_balancer(1);
+    let outcome = fleet.send(1, opening(flow(1, 0), 0));
+    expect_that!(outcome, eq(Outcome::Dropped(ResultCode::NoEndpoint)));
+    fleet.run_for(4_000);
+    let outcome = fleet.send(1, opening(flow(1, 0), 0));
+    expect_that!(outcome, eq(Outcome::Reset(ResultCode::NoEndpoint)));
+}
+
+// Loss of a small service that takes a tenth of a route: its part is shed or refused while the other
+// service of the route has room.
+#[gtest]
+fn the_other_services_of_a_route_help_out() {
+    let mut fleet = Fleet::new(1, 6, 2);
+    let backend = |number, weight| Backend {
+        service: service(number),
+        weight,
+    };
+    let route = Route {
+        service_address: service_address(0),
+        backends: vec![backend(0, 50), backend(1, 50), backend(2, 0)],
+    };
+    let configuration = Configuration::new(Version(9), vec![route], IDLE_MS);
+    fleet.balancers.get_mut(&1).unwrap().apply(configuration);
+    let both = open_many(&mut fleet, 0..60, 60);
+    let of_second = |taken: &[(u8, usize)]| -> usize {
+        let second = taken.iter().filter(|it| it.0 % 2 == 1);
+        second.map(|it| it.1).sum()
+    };
+    expect_that!(of_second(&both), all![gt(10), lt(50)]);
+    for number in [101, 103, 105] {
+        fleet.agents.get_mut(&number).unwrap().upstream.is_dead = true;
+    }
+    fleet.run_for(6_000);
+    let helped = open_many(&mut fleet, 100..160, 60);
+    expect_that!(of_second(&helped), eq(0));
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -21,6 +21,7 @@
 use tokio::time::{interval, sleep, timeout};
 
 use crate::directory::{Directory, DirectoryNews};
+use crate::metric::{AgentMetrics, count_refusal};
 use crate::peers::{ProcessOptions, carry_out, send_message};
 use crate::sockets::{BindError, Clock, MAX_DATAGRAM_BYTES, bind, receive, send};
 
@@ -82,6 +83,7 @@
     offered: Notify,
     /// The upstream shows no life.
     suspected: Notify,
+    metrics: AgentMetrics,
 }
 
 impl RelayAgent {
@@ -120,6 +122,7 @@
             caller_port: options.caller_port,
             offered: Notify::new(),
             suspected: Notify::new(),
+            metrics: AgentMetrics::new(),
         });
         core.handle(
             AgentEvent::Gossip(GossipEvent::Seeds(process.seed_addresses())),
@@ -192,12 +195,14 @@
         let buffer = &mut *buffer;
         match action {
             AgentAction::Deliver { token } => {
+                self.metrics.delivered.increment(1);
                 mark_for_upstream(packet, token);
                 send(&self.output, packet, self.upstream_address);
                 self.offered.notify_one();
             }
             AgentAction::Reply => {
                 let Some(segment) = segment else { return };
+                self.metrics.replied.increment(1);
                 let caller = SocketAddr::new(segment.flow.caller.ip(), self.caller_port);
                 send(&self.peers, packet, caller);
             }
@@ -206,6 +211,7 @@
                 search,
                 packet: earlier,
             } => {
+                self.metrics.passed_on.increment(1);
                 log_passed(segment, &search.visited, to);
                 let packet = earlier.as_deref().unwrap_or(packet);
                 let message = PeerMessage::Forward(search);
@@ -226,12 +232,16 @@
                 let message = PeerMessage::Located { flow, holder };
                 send_message(&self.peers, to, &message, &[], buffer);
             }
+            AgentAction::Accepted { after_ms } => self.metrics.accepted(after_ms),
+            AgentAction::Answered { after_ms } => self.metrics.answered(after_ms),
             AgentAction::Drop(code) => {
+                count_refusal(code, false);
                 if let Some(segment) = segment {
                     log::info!(flow:% = segment.flow, code:% = code; "relay: Packet dropped.");
                 }
             }
             AgentAction::Reset { flow, acknowledged } => {
+                self.metrics.ended.increment(1);
                 log::info!(flow:% = flow; "relay: Flow ended with its upstream.");
                 let caller = SocketAddr::new(flow.caller.ip(), self.caller_port);
                 send(&self.peers, &reset_to_caller(flow, acknowledged), caller);
@@ -317,6 +327,8 @@
         loop {
             rounds.tick().await;
             self.handle(AgentEvent::Measure, &mut [], None);
+            let held_flows = self.machine().held_flows();
+            self.metrics.held_flows.set(held_flows as f64);
             self.handle(AgentEvent::Gossip(GossipEvent::Round), &mut [], None);
         }
     }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -22,6 +22,7 @@
 
 use crate::configuration::{ConfigurationNews, follow};
 use crate::directory::{Directory, DirectoryNews};
+use crate::metric::{BalancerMetrics, count_refusal};
 use crate::peers::{ProcessOptions, carry_out, send_message};
 use crate::sockets::{BindError, Clock, MAX_DATAGRAM_BYTES, bind, receive, send};
 
@@ -63,6 +64,7 @@
     caller_port: u16,
     is_stopping: AtomicBool,
     last_packet_ms: AtomicU64,
+    metrics: BalancerMetrics,
 }
 
 impl RelayBalancer {
@@ -85,6 +87,7 @@
             caller_port: options.data_address.port(),
             is_stopping: AtomicBool::new(false),
             last_packet_ms: AtomicU64::new(0),
+            metrics: BalancerMetrics::new(),
         });
         core.gossip(GossipEvent::Seeds(process.seed_addresses()));
         let mut edges = Vec::new();
@@ -169,7 +172,9 @@
     fn decide(&self, packet: &[u8], segment: &Segment, decision: BalancerDecision) {
         match decision {
             BalancerDecision::Forward { to, search } => {
+                self.metrics.forwarded.increment(1);
                 if segment.is_opening() {
+                    self.metrics.opened.increment(1);
                     log::info!(
                         flow:% = segment.flow,
                         service:% = search.service,
@@ -183,6 +188,7 @@
                 send_message(&self.peers, to, &message, packet, &mut self.buffer());
             }
             BalancerDecision::Reset(code) => {
+                count_refusal(code, true);
                 self.log_refusal(segment, code, "relay: Flow refused.");
                 let caller = SocketAddr::new(segment.flow.caller.ip(), self.caller_port);
                 send(
@@ -192,6 +198,7 @@
                 );
             }
             BalancerDecision::Drop(code) => {
+                count_refusal(code, false);
                 self.log_refusal(segment, code, "relay: Packet dropped.");
             }
         }
@@ -234,7 +241,12 @@
             }
             Ok((PeerMessage::Located { flow, holder }, _)) => {
                 log::info!(flow:% = flow, agent:% = holder; "relay: Flow located.");
-                self.machine().locate(now, flow, holder);
+                self.metrics.located.increment(1);
+                let mut machine = self.machine();
+                machine.locate(now, flow, holder);
+                self.metrics
+                    .located_flows
+                    .set(machine.located_flows() as f64);
             }
             Ok((PeerMessage::Exhausted(search), packet)) => {
                 let Ok(segment) = read_from_caller(packet) else {
@@ -273,6 +285,9 @@
                 let version = configuration.version;
                 let routes = configuration.routes.len();
                 let is_newer = self.machine().apply(configuration);
+                if is_newer {
+                    self.metrics.version.set(version.get() as f64);
+                }
                 log::info!(version:% = version, routes, is_newer; "relay: Configuration read.");
             }
             ConfigurationNews::Current => self.machine().confirm(now),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 mod balancer;
 mod configuration;
 mod directory;
+mod metric;
 mod peers;
 mod sockets;
 
--- /dev/null
+++ b/crates/relay/src/metric.rs
@@ -0,0 +1,81 @@
+//! Metrics of the edges for opaque flows.
+
+use hawthorntide_types::{DurationMs, ResultCode};
+use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram};
+
+/// Metrics of a balancer.
+pub(crate) struct BalancerMetrics {
+    pub(crate) forwarded: Counter,
+    pub(crate) opened: Counter,
+    pub(crate) located: Counter,
+    pub(crate) located_flows: Gauge,
+    pub(crate) version: Gauge,
+}
+
+/// Metrics of an agent.
+pub(crate) struct AgentMetrics {
+    pub(crate) delivered: Counter,
+    pub(crate) replied: Counter,
+    pub(crate) passed_on: Counter,
+    pub(crate) ended: Counter,
+    pub(crate) held_flows: Gauge,
+    accept: Histogram,
+    answer: Histogram,
+}
+
+impl BalancerMetrics {
+    pub(crate) fn new() -> Self {
+        Self {
+            forwarded: counter!("hawthorntide_relay_forwarded_total"),
+            opened: counter!("hawthorntide_relay_openings_total"),
+            located: counter!("hawthorntide_relay_located_total"),
+            located_flows: gauge!("hawthorntide_relay_located_flows"),
+            version: gauge!("hawthorntide_relay_configuration_version"),
+        }
+    }
+}
+
+impl AgentMetrics {
+    pub(crate) fn new() -> Self {
+        Self {
+            delivered: counter!("hawthorntide_relay_delivered_total"),
+            replied: counter!("hawthorntide_relay_replied_total"),
+            passed_on: counter!("hawthorntide_relay_passed_on_total"),
+            ended: counter!("hawthorntide_relay_ended_flows_total"),
+            held_flows: gauge!("hawthorntide_relay_held_flows"),
+            accept: histogram!("hawthorntide_relay_accept_ms"),
+            answer: histogram!("hawthorntide_relay_answer_ms"),
+        }
+    }
+
+    /// Records the time from an opening packet to the upstream's acceptance.
+    pub(crate) fn accepted(&self, after_ms: DurationMs) {
+        self.accept.record(after_ms.get() as f64);
+    }
+
+    /// Records the time from a request to the first byte of its answer.
+    pub(crate) fn answered(&self, after_ms: DurationMs) {
+        self.answer.record(after_ms.get() as f64);
+    }
+}
+
+/// Counts a packet that was refused or dropped.
+pub(crate) fn count_refusal(code: ResultCode, is_reset: bool) {
+    if is_reset {
+        counter!("hawthorntide_relay_resets_total", "code" => code.name()).increment(1);
+    } else {
+        counter!("hawthorntide_relay_dropped_total", "code" => code.name()).increment(1);
+    }
+}
+
+impl std::fmt::Debug for BalancerMetrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("BalancerMetrics")
+    }
+}
+
+impl std::fmt::Debug for AgentMetrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("AgentMetrics")
+    }
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -498,13 +498,26 @@
 
 async fn send_any(request: RequestBuilder, deadline: Instant) -> Result<Response, Attempt> {
     match timeout_at(deadline, request.send()).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => {
+            count_call(response.status().as_u16().to_string());
+            Ok(response)
+        }
         // Nothing was sent when the connection was not made.
-        Ok(Err(error)) if error.is_connect() => Err(Attempt::Refused(StoreError::Unavailable)),
-        Ok(Err(_)) | Err(_) => Err(Attempt::Lost),
+        Ok(Err(error)) if error.is_connect() => {
+            count_call("unreachable".to_owned());
+            Err(Attempt::Refused(StoreError::Unavailable))
+        }
+        Ok(Err(_)) | Err(_) => {
+            count_call("lost".to_owned());
+            Err(Attempt::Lost)
+        }
     }
 }
 
+fn count_call(outcome: String) {
+    metrics::counter!("hawthorntide_store_calls_total", "outcome" => outcome).increment(1);
+}
+
 async fn body_of(response: Response, deadline: Instant) -> Result<Vec<u8>, StoreError> {
     match timeout_at(deadline, response.bytes()).await {
         Ok(Ok(body)) => Ok(body.to_vec()),
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -6,12 +6,14 @@
 use googletest::prelude::*;
 
 const PREFIX: &str = "hawthorntide_";
+const KINDS: [&str; 4] = ["_total", "_ms", "_flows", "_version"];
 
 /// Adds the names behind `quote` in `text`.
 fn add_names(text: &str, quote: char, names: &mut BTreeSet<String>) {
     for part in text.split(quote) {
         let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
-        if part.starts_with(PREFIX) && part.ends_with("_total") && part.chars().all(is_name) {
+        let is_metric = KINDS.iter().any(|kind| part.ends_with(kind));
+        if part.starts_with(PREFIX) && is_metric && part.chars().all(is_name) {
             names.insert(part.to_owned());
         }
     }
