Let three balancers watch the store for all

Cause: each balancer held a watch and each process retried a failed call every 150 to 400 ms.

Change: a balancer tells its version and whether it watches. It watches only if fewer than three that come before it do; the others read once when one has a later version.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, Phase, ResultCode, ServiceName, TimeMs};
+use hawthorntide_types::{DurationMs, NodeId, Phase, ResultCode, ServiceName, TimeMs};
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
-use crate::peer::Peer;
+use crate::peer::{BalancerStatus, Peer, PeerRole};
 use crate::placement::DomainTag;
 use crate::route::{Configuration, RouteTable};
 use crate::segment::{Segment, SegmentKind};
@@ -18,6 +18,10 @@
 /// answers or ends before.
 const CURRENT_FOR_MS: DurationMs = DurationMs(4_000);
 
+/// Balancers that watch the platform store: enough that some are left after the loss of a failure
+/// domain, whatever the size of the deployment.
+const WATCHERS: usize = 3;
+
 /// Flows whose endpoint a balancer remembers.
 const MAX_LOCATED: usize = 100_000;
 
@@ -127,6 +131,47 @@
         self.confirmed = Some(now);
     }
 
+    /// Returns the role to tell others, of a balancer that watches the store or does not.
+    pub fn role(&self, is_watching: bool) -> PeerRole {
+        PeerRole::Balancer(BalancerStatus {
+            version: self.routes.version(),
+            is_watching,
+        })
+    }
+
+    /// Returns whether this balancer should watch the platform store for the others.
+    pub fn should_watch(&self, now: TimeMs) -> bool {
+        let own = self.gossip.own().address;
+        let is_before = |peer: &&Peer| watch_rank(peer.address) < watch_rank(own);
+        let watchers = self.watchers(now).filter(is_before);
+        watchers.count() < WATCHERS
+    }
+
+    /// Returns whether another balancer has a later version of the routes.
+    pub fn is_behind(&self, now: TimeMs) -> bool {
+        let own = self.routes.version();
+        let balancers = self.gossip.view().live_balancers(now);
+        let mut versions = balancers.filter_map(|peer| Some(peer.balancer()?.version));
+        versions.any(|version| version > own)
+    }
+
+    /// Returns the other balancers that watch the store.
+    fn watchers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
+        let own = self.gossip.own().address;
+        let balancers = self.gossip.view().live_balancers(now);
+        balancers
+            .filter(move |peer| peer.address != own)
+            .filter(|peer| peer.balancer().is_some_and(|status| status.is_watching))
+    }
+
+    /// Returns whether the routes in force are certainly the latest, or were a moment ago.
+    fn is_current(&self, now: TimeMs) -> bool {
+        let is_confirmed = self
+            .confirmed
+            .is_some_and(|confirmed| now.since(confirmed) <= CURRENT_FOR_MS);
+        is_confirmed || (self.watchers(now).next().is_some() && !self.is_behind(now))
+    }
+
     /// Remembers the endpoint of a flow.
     pub fn locate(&mut self, now: TimeMs, flow: FlowKey, holder: SocketAddr) {
         self.expire(now);
@@ -251,13 +296,10 @@
     fn without_route(&self, now: TimeMs, segment: &Segment) -> BalancerDecision {
         let address = segment.flow.service_address;
         let was_dropped = self.dropped_routes.binary_search(&address).is_ok();
-        let is_current = self
-            .confirmed
-            .is_some_and(|confirmed| now.since(confirmed) <= CURRENT_FOR_MS);
         if segment.kind == SegmentKind::Reset {
             return BalancerDecision::Drop(ResultCode::NotFound);
         }
-        if was_dropped || (segment.is_opening() && is_current) {
+        if was_dropped || (segment.is_opening() && self.is_current(now)) {
             return BalancerDecision::Reset(ResultCode::NotFound);
         }
         BalancerDecision::Drop(ResultCode::NotFound)
@@ -297,3 +339,8 @@
             .retain(|_, flow| now.since(flow.last_packet) <= idle_ms);
     }
 }
+
+/// Returns the place of a balancer among those that may watch the store, spread over failure domains.
+fn watch_rank(address: SocketAddr) -> u64 {
+    NodeId::of_address(address).get()
+}
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -21,7 +21,7 @@
 pub use balancer::{BalancerDecision, BalancerMachine};
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{MessageError, PeerMessage, Search, decode, encode};
-pub use peer::{AgentStatus, Peer, PeerRole};
+pub use peer::{AgentStatus, BalancerStatus, Peer, PeerRole};
 pub use placement::DomainTag;
 pub use route::{Backend, Configuration, Route, RouteTable};
 pub use segment::{Segment, SegmentKind};
--- a/crates/opaque/src/peer.rs
+++ b/crates/opaque/src/peer.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use hawthorntide_types::{FailureDomain, Incarnation, PerMille, Phase, ServiceName, Weight};
+use hawthorntide_types::{
+    FailureDomain, Incarnation, PerMille, Phase, ServiceName, Version, Weight,
+};
 use serde::{Deserialize, Serialize};
 
 /// What an agent tells of its upstream.
@@ -29,18 +31,27 @@
     /// Returns whether both differ in nothing but the load.
     pub(crate) fn is_same_state(&self, other: &Self) -> bool {
         match (self, other) {
-            (Self::Balancer, Self::Balancer) => true,
+            (Self::Balancer(status), Self::Balancer(other)) => status == other,
             (Self::Agent(status), Self::Agent(other)) => status.is_same_state(other),
             _ => false,
         }
     }
 }
 
+/// What a balancer tells of its routes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BalancerStatus {
+    /// Version of the routes in force.
+    pub version: Version,
+    /// It watches the platform store and is answered.
+    pub is_watching: bool,
+}
+
 /// Role of a process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerRole {
     /// Forwards packets of callers.
-    Balancer,
+    Balancer(BalancerStatus),
     /// Runs beside an upstream.
     Agent(AgentStatus),
 }
@@ -65,7 +76,15 @@
     pub const fn agent(&self) -> Option<&AgentStatus> {
         match &self.role {
             PeerRole::Agent(status) => Some(status),
-            PeerRole::Balancer => None,
+            PeerRole::Balancer(_) => None,
+        }
+    }
+
+    /// Returns the state of a balancer.
+    pub const fn balancer(&self) -> Option<&BalancerStatus> {
+        match &self.role {
+            PeerRole::Balancer(status) => Some(status),
+            PeerRole::Agent(_) => None,
         }
     }
 
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -5,7 +5,7 @@
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, Phase, ServiceName, TimeMs};
 
-use crate::peer::{AgentStatus, Peer, PeerRole};
+use crate::peer::{AgentStatus, Peer};
 use crate::placement::{DomainTag, rank};
 
 /// Time without news of a process after which it counts as unreachable: six rounds of gossip, in
@@ -117,7 +117,7 @@
             .iter()
             .filter(move |known| !known.is_silent(now))
             .map(|known| &known.peer)
-            .filter(|peer| peer.role == PeerRole::Balancer)
+            .filter(|peer| peer.balancer().is_some())
     }
 
     /// Returns the agents that did not leave, whether they can be reached or not.
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -6,8 +6,8 @@
 
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, Backend, BalancerDecision,
-    BalancerMachine, Configuration, GossipAction, GossipEvent, Peer, PeerMessage, PeerRole, Route,
-    Search, Segment, SegmentKind, UpstreamReport,
+    BalancerMachine, BalancerStatus, Configuration, GossipAction, GossipEvent, Peer, PeerMessage,
+    PeerRole, Route, Search, Segment, SegmentKind, UpstreamReport,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
@@ -192,7 +192,7 @@
 
     pub fn start_balancer(&mut self, number: u8) {
         let life = self.life();
-        let own = peer(number, life, PeerRole::Balancer);
+        let own = peer(number, life, PeerRole::Balancer(BalancerStatus::default()));
         let mut machine = BalancerMachine::new(own.clone(), u64::from(number));
         machine.apply(configuration(1, self.services));
         machine.confirm(self.now);
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -7,8 +7,8 @@
 
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
-    BalancerDecision, BalancerMachine, GOSSIP_INTERVAL_MS, GossipEvent, PeerMessage, PeerRole,
-    Segment, decode,
+    BalancerDecision, BalancerMachine, BalancerStatus, GOSSIP_INTERVAL_MS, GossipEvent,
+    PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
     HttpEdge, MAX_PACKET_BYTES, PlatformStore, ProcessState, UpstreamHeartbeat, read_from_caller,
@@ -20,7 +20,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 
-use crate::configuration::{ConfigurationNews, follow};
+use crate::configuration::{ConfigurationNews, ConfigurationTask, follow};
 use crate::directory::{Directory, DirectoryNews};
 use crate::metric::{BalancerMetrics, count_refusal};
 use crate::peers::{ProcessOptions, carry_out, send_message};
@@ -71,7 +71,7 @@
     /// Binds the sockets and starts the tasks of a balancer.
     pub async fn spawn(options: RelayBalancerOptions) -> Result<Self, BindError> {
         let process = &options.process;
-        let own = process.peer(PeerRole::Balancer);
+        let own = process.peer(PeerRole::Balancer(BalancerStatus::default()));
         let store = ObjectStore::open_with(
             process.store_address,
             StoreOptions::default(),
@@ -101,10 +101,12 @@
         tasks.spawn(Arc::clone(&core).take_packets());
         tasks.spawn(Arc::clone(&core).take_messages());
         tasks.spawn(Arc::clone(&core).gossip_rounds());
-        let configured = Arc::clone(&core);
-        tasks.spawn(follow(Arc::clone(&store), move |news| {
-            configured.configure(news);
-        }));
+        let (asked, configured) = (Arc::clone(&core), Arc::clone(&core));
+        tasks.spawn(follow(
+            Arc::clone(&store),
+            move || asked.configuration_task(),
+            move |news| configured.configure(news),
+        ));
         if let Some(directory) = Directory::new(store, &own) {
             let core = Arc::clone(&core);
             tasks.spawn(directory.run(move |news| {
@@ -278,9 +280,21 @@
         carry_out(&self.peers, actions, &mut self.buffer());
     }
 
+    fn configuration_task(&self) -> ConfigurationTask {
+        let now = self.clock.now();
+        let machine = self.machine();
+        if machine.should_watch(now) {
+            ConfigurationTask::Watch
+        } else if machine.is_behind(now) {
+            ConfigurationTask::Read
+        } else {
+            ConfigurationTask::Rest
+        }
+    }
+
     fn configure(&self, news: ConfigurationNews) {
         let now = self.clock.now();
-        match news {
+        let role = match news {
             ConfigurationNews::Read(configuration) => {
                 let version = configuration.version;
                 let routes = configuration.routes.len();
@@ -289,9 +303,16 @@
                     self.metrics.version.set(version.get() as f64);
                 }
                 log::info!(version:% = version, routes, is_newer; "relay: Configuration read.");
+                return;
             }
-            ConfigurationNews::Current => self.machine().confirm(now),
-        }
+            ConfigurationNews::Current => {
+                let mut machine = self.machine();
+                machine.confirm(now);
+                machine.role(machine.should_watch(now))
+            }
+            ConfigurationNews::Unwatched => self.machine().role(false),
+        };
+        self.gossip(GossipEvent::OwnRole(role));
     }
 }
 
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -11,11 +11,9 @@
     Collection, Freshness, ListPage, ObjectKey, ObjectKind, ObjectStore, StoredObject, WriteOutcome,
 };
 use hawthorntide_types::{Incarnation, Version};
-use rand::Rng;
 use tokio::time::sleep;
 
-/// Pause before a failed call is tried again.
-const RETRY_PAUSE_MS: std::ops::Range<u64> = 150..400;
+use crate::backoff::Backoff;
 
 /// Pause between two looks at the whole directory, which mend what gossip missed.
 const REFRESH_PAUSE: Duration = Duration::from_secs(10);
@@ -61,16 +59,18 @@
     pub(crate) async fn run(self, mut take: impl FnMut(DirectoryNews)) {
         let mut is_entered = false;
         let mut freshness = Freshness::Current;
+        let mut backoff = Backoff::default();
         loop {
             let listed = self.store.list_collection(Collection::Own, freshness).await;
             let objects = match listed {
                 Ok(page) => objects(page),
                 Err(error) => {
                     log::warn!("relay: Directory not read: {error}.");
-                    pause().await;
+                    backoff.pause().await;
                     continue;
                 }
             };
+            backoff.reset();
             let own = objects.iter().find(|object| object.key == self.key);
             let own = own.cloned();
             take(DirectoryNews::Listed(peers(objects)));
@@ -86,6 +86,10 @@
             }
             log::info!(key:% = self.key, was_known; "relay: Directory entry in place.");
             take(DirectoryNews::Entered { was_known });
+            if was_known {
+                freshness = Freshness::MayBeStale;
+                sleep(REFRESH_PAUSE).await;
+            }
         }
     }
 
@@ -100,6 +104,7 @@
 
     /// Writes the entry on top of `theirs`, the object with its name.
     async fn enter(&self, mut theirs: Option<StoredObject>) {
+        let mut backoff = Backoff::default();
         loop {
             let expected = theirs.as_ref().map_or(Version::NONE, |it| it.version);
             let outcome = self.store.put_if(&self.key, &self.entry, expected).await;
@@ -108,7 +113,7 @@
                 WriteOutcome::Conflict { theirs: current } => theirs = current,
                 WriteOutcome::NotAccepted | WriteOutcome::Open { .. } => {
                     log::warn!(key:% = self.key, code:% = outcome.code(); "relay: Directory entry not written.");
-                    pause().await;
+                    backoff.pause().await;
                 }
             }
             // The last write may have taken effect although its answer was lost.
@@ -139,8 +144,3 @@
         .filter_map(|object| serde_json::from_value(object.value).ok())
         .collect()
 }
-
-async fn pause() {
-    let pause_ms = rand::rng().random_range(RETRY_PAUSE_MS);
-    sleep(Duration::from_millis(pause_ms)).await;
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Edges of balancers and agents for opaque flows: sockets, timers and calls of the store.
 
 mod agent;
+mod backoff;
 mod balancer;
 mod configuration;
 mod directory;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -74,10 +74,12 @@
 
 fn log_peer(peer: &Peer) {
     match &peer.role {
-        PeerRole::Balancer => log::info!(
+        PeerRole::Balancer(status) => log::info!(
             peer:% = peer.address,
             incarnation:% = peer.incarnation,
-            failure_domain:% = peer.failure_domain;
+            failure_domain:% = peer.failure_domain,
+            version:% = status.version,
+            is_watching = status.is_watching;
             "relay: Balancer known."
         ),
         PeerRole::Agent(status) => log::info!(
