Add a fault soak with real processes, and explain failed requests from logs

The soak runs balancers and agents as processes on loopback, with stand-ins of the platform's store, routers, upstreams and callers in platform/standins. It kills, stops, pauses and restarts processes by signals, crashes and replaces upstreams, disturbs the way to the store through a proxy, and changes routes, in series that overlap. It checks what callers and upstreams see: whole answers to the own request, flows that stay at their upstream, no work twice, no new flows at a drained upstream, routes in force after 3 s, recovery. Two of its tests must fail a run: a system that does not start, and one that serves nobody.

Agents log the identifier of a request with its flow; hawthorntide explain joins the logs around a request or flow.

--- /dev/null
+++ b/crates/configuration/tests/opaque_settings.rs
@@ -0,0 +1,120 @@
+//! Guards the settings for opaque flows and the templates that the platform fills in.
+
+use std::path::Path;
+
+use googletest::prelude::*;
+use hawthorntide_configuration::{LogFormat, LogOutput, Settings, check};
+use hawthorntide_types::{DurationMs, ResultCode};
+
+const BALANCER: &str = r#"{
+  "role": "balancer", "flows": "opaque", "failure_domain": "a",
+  "data_address": "10.1.0.10:8172", "ready_address": "10.1.0.10:8167",
+  "peer_address": "10.1.0.10:7720", "metrics_address": "10.1.0.10:7721",
+  "seed_addresses": ["10.2.0.40:8166"], "store_address": "10.200.1.7:8169",
+  "drain_limit_ms": 5000, "log": { "format": "json", "output": "stdout" }
+}"#;
+
+const AGENT: &str = r#"{
+  "role": "agent", "flows": "opaque", "failure_domain": "a", "service": "stockd",
+  "upstream_address": "10.1.0.12:8165", "upstream_output_address": "10.1.0.12:8162",
+  "heartbeat_address": "10.1.0.12:8166", "ready_address": "10.1.0.12:8167",
+  "data_address": "10.1.0.12:8172", "peer_address": "10.1.0.12:7720",
+  "store_address": "10.200.1.7:8169", "heartbeat_ms": 770, "flow_idle_ms": 60000
+}"#;
+
+#[gtest]
+fn settings_of_a_balancer_arrive() {
+    let Ok(Settings::OpaqueBalancer(settings)) = check(BALANCER, "balancer.jsonc") else {
+        panic!("the settings are refused");
+    };
+    expect_that!(settings.data_address.port(), eq(8172));
+    expect_that!(settings.drain_limit_ms, eq(DurationMs(5_000)));
+    expect_that!(settings.process.peer_address.port(), eq(7720));
+    expect_that!(
+        settings.process.metrics_address.map(|it| it.port()),
+        some(eq(7721))
+    );
+    expect_that!(settings.process.seed_addresses.len(), eq(1));
+    expect_that!(settings.process.log.format, eq(LogFormat::Json));
+    expect_that!(settings.process.log.output, eq(LogOutput::Stdout));
+}
+
+#[gtest]
+fn settings_of_an_agent_arrive() {
+    let Ok(Settings::OpaqueAgent(settings)) = check(AGENT, "agent.jsonc") else {
+        panic!("the settings are refused");
+    };
+    expect_that!(settings.service.as_str(), eq("stockd"));
+    expect_that!(settings.heartbeat_ms, eq(DurationMs(770)));
+    expect_that!(
+        settings.process.seed_addresses.len(),
+        eq(0),
+        "seeds may be absent"
+    );
+    expect_that!(settings.process.log.output, eq(LogOutput::Stderr));
+}
+
+// Guards against wrong values that a process starts with.
+#[gtest]
+fn wrong_values_are_named_with_their_field() {
+    for (text, field) in [
+        (BALANCER.replace("\"opaque\"", "\"tcp\""), "flows"),
+        (BALANCER.replace("5000", "0"), "drain_limit_ms"),
+        (BALANCER.replace("10.1.0.10:7720", "7720"), "peer_address"),
+        (BALANCER.replace("\"stdout\"", "\"file\""), "log.output"),
+        (AGENT.replace("770", "0"), "heartbeat_ms"),
+        (AGENT.replace("\"stockd\"", "\"\""), "service"),
+        (
+            AGENT.replace("10.1.0.12:8162", "0.0.0.0:8162"),
+            "upstream_output_address",
+        ),
+        (
+            AGENT.replace("\"flow_idle_ms\"", "\"idle\""),
+            "flow_idle_ms",
+        ),
+    ] {
+        let problems = check(&text, "file.jsonc").unwrap_err();
+        expect_that!(problems[0].code, eq(ResultCode::SettingsInvalid));
+        expect_that!(
+            problems.iter().any(|it| it.field == field),
+            eq(true),
+            "{problems:?}"
+        );
+    }
+}
+
+/// Fills in a template as the platform does, as far as the templates of `deploy/` need it.
+fn fill(template: &str) -> String {
+    let seeds = "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}";
+    let mut text = template.replace(seeds, "\"10.1.0.10:8166\",\"10.2.0.40:8166\"");
+    for (name, value) in [
+        ("zone", "bole"),
+        ("ip", "10.1.0.12"),
+        ("service", "huvo11a"),
+        ("app", "10.1.0.12:8165"),
+        ("heartbeatMs", "770"),
+        ("internalPorts.0", "7720"),
+        ("internalPorts.1", "7721"),
+        ("listen.dataAddr", "10.1.0.12:8172"),
+        ("listen.outbound", "10.1.0.12:8162"),
+        ("listen.ready", "10.1.0.12:8167"),
+        ("listen.control", "10.1.0.12:8166"),
+        ("platform.addr", "10.200.1.7:8169"),
+    ] {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    text
+}
+
+// Guards against templates that make settings which the processes refuse.
+#[gtest]
+fn the_templates_make_valid_settings() {
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    for name in ["balancer.jsonc", "agent.jsonc"] {
+        let template = std::fs::read_to_string(deploy.join(name)).unwrap();
+        let text = fill(&template);
+        expect_that!(text, not(contains_substring("{{")));
+        let settings = check(&text, name);
+        expect_that!(settings.is_ok(), eq(true), "{name}: {:?}", settings.err());
+    }
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -10,8 +10,9 @@
     GossipEvent, PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
-    HttpEdge, MAX_PACKET_BYTES, PlatformStore, ProcessState, UpstreamHeartbeat, UpstreamPacket,
-    mark_for_upstream, read_from_caller, read_from_upstream, reset_to_caller,
+    HEADER_BYTES, HttpEdge, MAX_PACKET_BYTES, PlatformStore, ProcessState, UpstreamHeartbeat,
+    UpstreamPacket, mark_for_upstream, read_from_caller, read_from_upstream, request_id,
+    reset_to_caller,
 };
 use hawthorntide_store::{ObjectStore, StoreOptions};
 use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
@@ -196,6 +197,7 @@
         match action {
             AgentAction::Deliver { token } => {
                 self.metrics.delivered.increment(1);
+                log_request(segment, packet);
                 mark_for_upstream(packet, token);
                 send(&self.output, packet, self.upstream_address);
                 self.offered.notify_one();
@@ -232,7 +234,12 @@
                 let message = PeerMessage::Located { flow, holder };
                 send_message(&self.peers, to, &message, &[], buffer);
             }
-            AgentAction::Accepted { after_ms } => self.metrics.accepted(after_ms),
+            AgentAction::Accepted { after_ms } => {
+                self.metrics.accepted(after_ms);
+                if let Some(segment) = segment {
+                    log::info!(flow:% = segment.flow, after_ms:% = after_ms; "relay: Flow accepted.");
+                }
+            }
             AgentAction::Answered { after_ms } => self.metrics.answered(after_ms),
             AgentAction::Drop(code) => {
                 count_refusal(code, false);
@@ -368,6 +375,16 @@
     }
 }
 
+/// Ties the identifier of a request to the flow that carries it.
+fn log_request(segment: Option<&Segment>, packet: &[u8]) {
+    let Some(segment) = segment.filter(|segment| segment.payload_bytes > 0) else {
+        return;
+    };
+    if let Some(request) = packet.get(HEADER_BYTES..).and_then(request_id) {
+        log::info!(flow:% = segment.flow, request; "relay: Request delivered.");
+    }
+}
+
 fn log_passed(segment: Option<&Segment>, visited: &[SocketAddr], to: SocketAddr) {
     let Some(segment) = segment else {
         log::info!(to:% = to, visited = visited.len(); "relay: Unanswered packet passed on.");
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,38 @@
+//! Randomized fault soak: real balancers and agents as processes, faults from outside them.
+
+mod callers;
+mod cli;
+mod faults;
+mod fleet;
+mod ledger;
+mod process;
+mod soak;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use hawthorntide_types::ResultCode;
+
+use crate::cli::Cli;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let code = match run(&cli) {
+        Ok(0) => ResultCode::Ok,
+        Ok(_) => ResultCode::PromiseBroken,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ResultCode::Failure
+        }
+    };
+    ExitCode::from(code.number())
+}
+
+/// Runs the soak and returns how many promises were broken.
+fn run(cli: &Cli) -> anyhow::Result<usize> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    runtime.block_on(soak::run(cli))
+}
--- /dev/null
+++ b/soak/src/process.rs
@@ -0,0 +1,121 @@
+//! Process under test and the signals it gets.
+
+use std::fs::{File, OpenOptions};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use anyhow::Context;
+
+/// Signal to a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Signal {
+    Stop,
+    Continue,
+    Terminate,
+    Kill,
+    Reload,
+}
+
+impl Signal {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Stop => "STOP",
+            Self::Continue => "CONT",
+            Self::Terminate => "TERM",
+            Self::Kill => "KILL",
+            Self::Reload => "HUP",
+        }
+    }
+}
+
+/// Process of the system; it is killed when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) name: String,
+    binary: PathBuf,
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Writes the settings and starts the process.
+    pub(crate) fn spawn(
+        binary: &Path,
+        directory: &Path,
+        role: &'static str,
+        name: &str,
+        settings: &serde_json::Value,
+    ) -> anyhow::Result<Self> {
+        let path = directory.join(format!("{name}.jsonc"));
+        std::fs::write(&path, serde_json::to_string_pretty(settings)?)?;
+        let mut process = Self {
+            name: name.to_owned(),
+            binary: binary.to_owned(),
+            role,
+            settings: path,
+            log: directory.join(format!("{name}.log")),
+            child: None,
+        };
+        process.start()?;
+        Ok(process)
+    }
+
+    /// Starts the process if it does not run; its log goes on.
+    pub(crate) fn start(&mut self) -> anyhow::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = OpenOptions::new().create(true).append(true).open(&self.log);
+        let log: File = log.with_context(|| self.log.display().to_string())?;
+        let child = Command::new(&self.binary)
+            .arg(self.role)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("cannot start {}", self.binary.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process that this soak started.
+    pub(crate) fn signal(&mut self, signal: Signal) -> anyhow::Result<()> {
+        if !self.is_running() {
+            return Ok(());
+        }
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let status = Command::new("kill")
+            .arg(format!("-{}", signal.name()))
+            .arg(child.id().to_string())
+            .status()?;
+        anyhow::ensure!(status.success(), "kill -{} {}", signal.name(), child.id());
+        Ok(())
+    }
+
+    /// Returns whether the process runs; one that ended is collected.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let Some(child) = &mut self.child else {
+            return false;
+        };
+        if matches!(child.try_wait(), Ok(None)) {
+            return true;
+        }
+        self.child = None;
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -41,6 +41,8 @@
     Drain(DrainArguments),
     /// Runs a stand-in of the platform, of an upstream or of callers.
     Emulate(EmulateArguments),
+    /// Shows what logs tell of a request or flow, and what changed around it.
+    Explain(ExplainArguments),
     /// Makes a set of keys, certificates and tokens for development.
     Keys(KeysArguments),
     /// Shows and changes profiles.
@@ -229,6 +231,25 @@
     pub(crate) shell: Shell,
 }
 
+/// Arguments of `explain`.
+#[derive(Args, Debug)]
+#[command(after_help = "Examples:
+  hawthorntide explain 8feb97493e4d4a43 logs/*.log
+  hawthorntide explain '100.64.0.7:40001>198.18.0.1:443' logs/*.log --around-ms 5000
+
+Logs are those of balancers and agents for opaque flows, in JSON. Each line gives the time, the
+file, what happened and the inputs that decided it.")]
+pub(crate) struct ExplainArguments {
+    /// Identifier of a request, or a flow as the logs write it.
+    pub(crate) subject: String,
+    /// Logs, one for each process.
+    #[arg(required = true)]
+    pub(crate) logs: Vec<PathBuf>,
+    /// Time before and after the flow's lines whose changes of state are shown as well.
+    #[arg(long, default_value_t = 2_000)]
+    pub(crate) around_ms: u64,
+}
+
 /// Arguments of `keys`.
 #[derive(Args, Debug)]
 #[command(after_help = "Example:
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 mod completions;
 mod drain;
 mod emulate;
+mod explain;
 mod failure;
 mod keys;
 mod logging;
@@ -54,6 +55,7 @@
         Command::Completions(arguments) => Ok(completions::run(&arguments)),
         Command::Drain(arguments) => block_on(drain::run(arguments, format)),
         Command::Emulate(arguments) => block_on(emulate::run(arguments, format)),
+        Command::Explain(arguments) => explain::run(&arguments, format),
         Command::Keys(arguments) => keys::run(&arguments, format),
         Command::Profile(arguments) => block_on(profile::run(arguments, format)),
         Command::Service(arguments) => block_on(service::run(arguments, format)),
