--- a/src/explain.rs
+++ b/src/explain.rs
@@ -114,7 +114,7 @@
     let window = first.saturating_sub(around)..=last.saturating_add(around);
     let is_change = |line: &Explained| {
         let is_known = |text: &&str| line.text.starts_with(*text);
-        window.contains(&line.time_ms) && STATE_CHANGES.iter().any(|text| is_known(&text))
+        window.contains(&line.time_ms) && STATE_CHANGES.iter().any(is_known)
     };
     lines
         .into_iter()
