Give few new flows to upstreams that break off requests

Change: the agent keeps a smoothed rate of requests that its upstream broke off. From a tenth on it takes a twentieth of the new flows; the rate decays, so that an upstream that recovered is tried and comes back.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -43,6 +43,19 @@
 /// within a second.
 const LOAD_GAIN: u32 = 300;
 
+/// Part of the failure rate that one request makes up, in thousandths: about twenty requests count.
+const FAILURE_GAIN: u32 = 50;
+
+/// Part of the failure rate that is left after each measurement, in thousandths: half of it goes in
+/// six seconds, so that an upstream that recovered is tried again.
+const FAILURE_DECAY: u32 = 972;
+
+/// Failure rate in thousandths from which an upstream gets few new flows.
+const FAILING_FROM: u32 = 100;
+
+/// Part of the new flows of a failing upstream, which show whether it recovered.
+const TRIAL_WEIGHT: Weight = Weight(50);
+
 /// Slots of an upstream that has not told them yet.
 const DEFAULT_SLOTS: u32 = 2;
 
@@ -225,6 +238,8 @@
     unanswered: u32,
     /// Requests at the upstream for each thousand slots, smoothed.
     load: u32,
+    /// Requests that the upstream broke off, in thousandths of all, smoothed.
+    failure_rate: u32,
     /// Since when a packet was delivered without a sign of life after it.
     waiting_since: Option<TimeMs>,
     last_probe: Option<TimeMs>,
@@ -248,6 +263,7 @@
             last_report: None,
             unanswered: 0,
             load: 0,
+            failure_rate: 0,
             waiting_since: None,
             last_probe: None,
             is_dead: false,
@@ -406,7 +422,11 @@
         out.push(AgentAction::Reply);
         match change {
             Some(FlowChange::Accepted) => self.accepted(now, segment.flow, out),
-            Some(FlowChange::Answered { after_ms }) => out.push(AgentAction::Answered { after_ms }),
+            Some(FlowChange::Answered { after_ms }) => {
+                self.count_request(false);
+                out.push(AgentAction::Answered { after_ms });
+            }
+            Some(FlowChange::Broken) => self.count_request(true),
             None => {}
         }
     }
@@ -603,7 +623,15 @@
         self.spread(now, GossipEvent::OwnRole(PeerRole::Agent(status)), out);
     }
 
+    /// Takes the outcome of a request into the failure rate.
+    const fn count_request(&mut self, has_failed: bool) {
+        let outcome = if has_failed { 1_000 } else { 0 };
+        let kept = self.failure_rate * (1_000 - FAILURE_GAIN);
+        self.failure_rate = (kept + outcome * FAILURE_GAIN) / 1_000;
+    }
+
     fn measure(&mut self) {
+        self.failure_rate = self.failure_rate * FAILURE_DECAY / 1_000;
         let reported = self.upstream.as_ref().map_or(0, |it| it.slots.get());
         let slots = if reported == 0 {
             DEFAULT_SLOTS
@@ -614,12 +642,15 @@
         self.load = (self.load * (1_000 - LOAD_GAIN) + measured * LOAD_GAIN) / 1_000;
     }
 
-    /// Returns no weight for an upstream that shows no life.
+    /// Returns no weight for an upstream that shows no life, and little for one that fails requests,
+    /// whatever it says of its health.
     fn weight(&self, now: TimeMs) -> Weight {
         let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
         let last = self.last_report.unwrap_or(self.started);
         if self.is_dead || now.since(last) > limit || self.unanswered >= MAX_UNANSWERED {
             Weight::NONE
+        } else if self.failure_rate >= FAILING_FROM {
+            TRIAL_WEIGHT
         } else {
             Weight::FULL
         }
--- a/crates/opaque/src/held.rs
+++ b/crates/opaque/src/held.rs
@@ -40,6 +40,8 @@
 pub(crate) enum FlowChange {
     /// It accepts a flow that was not held.
     Accepted,
+    /// It ends a flow on which a request waits.
+    Broken,
     /// It begins the answer to a request.
     Answered {
         /// Time since the request.
@@ -117,8 +119,9 @@
                 is_new.then_some(FlowChange::Accepted)
             }
             SegmentKind::Reset => {
+                let was_busy = self.is_busy(&segment.flow);
                 self.remove(&segment.flow);
-                None
+                was_busy.then_some(FlowChange::Broken)
             }
             SegmentKind::Established => {
                 let end = segment.end();
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -110,6 +110,8 @@
     pub is_dead: bool,
     /// It takes requests and answers none.
     pub is_stuck: bool,
+    /// It breaks off each request.
+    pub is_failing: bool,
     /// Packets of established flows that it got although it does not hold them.
     pub strays: usize,
 }
@@ -507,6 +509,10 @@
         };
         let mut actions = Vec::new();
         let outcome = if let Some(answer) = answer {
+            let mut answer = answer;
+            if upstream.is_failing && !segment.is_opening() {
+                answer.kind = SegmentKind::Reset;
+            }
             if segment.is_opening() || !upstream.is_stuck {
                 let event = AgentEvent::Sent(answer);
                 node.machine.handle(now, event, &mut actions);
--- a/crates/opaque/tests/load.rs
+++ b/crates/opaque/tests/load.rs
@@ -125,3 +125,23 @@
     let helped = open_many(&mut fleet, 100..160, 60);
     expect_that!(of_second(&helped), eq(0));
 }
+
+// Grey failure: an upstream says that it is healthy and breaks off requests.
+#[gtest]
+fn an_upstream_that_fails_requests_gets_few_new_flows_until_it_recovers() {
+    let mut fleet = Fleet::new(1, 3, 1);
+    let at = |taken: &[(u8, usize)], agent: u8| -> usize {
+        taken.iter().find(|it| it.0 == agent).unwrap().1
+    };
+    let calm = open_many(&mut fleet, 0..90, 60);
+    let near = calm.iter().max_by_key(|it| it.1).unwrap().0;
+    fleet.agents.get_mut(&near).unwrap().upstream.is_failing = true;
+    open_many(&mut fleet, 100..130, 60);
+    fleet.run_for(500);
+    let failing = open_many(&mut fleet, 200..260, 60);
+    expect_that!(at(&failing, near), le(12), "{failing:?}");
+    fleet.agents.get_mut(&near).unwrap().upstream.is_failing = false;
+    fleet.run_for(30_000);
+    let recovered = open_many(&mut fleet, 300..360, 60);
+    expect_that!(at(&recovered, near), ge(50), "{recovered:?}");
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -24,6 +24,10 @@
 const PEER_PORT: u16 = 21_720;
 const STORE_PORT: u16 = 21_169;
 
+/// Networks of which a run takes one, the second of the four numbers of its addresses.
+const FIRST_NETWORK: u8 = 100;
+const NETWORKS: u32 = 100;
+
 /// Networks of the run's addresses, the third of their four numbers.
 const BALANCER_NET: u8 = 1;
 const AGENT_NET: u8 = 2;
@@ -70,9 +74,7 @@
     /// Starts all processes and writes the first configuration.
     pub(crate) async fn spawn(cli: &Cli, directory: &Path) -> anyhow::Result<Self> {
         let binary = binary(cli)?;
-        let network = 100 + (std::process::id() % 100) as u8;
-        let store_address = address(network, STORE_NET, 1, STORE_PORT);
-        let store = Store::bind(store_address).await?;
+        let (network, store_address, store) = bind_store().await?;
         let link_address = address(network, STORE_NET, 2, STORE_PORT);
         let store_link = TcpProxy::bind(link_address, store_address).await?;
         let mut balancers = Vec::new();
@@ -269,6 +271,21 @@
     }
 }
 
+/// Binds the store in the first network of addresses that no other run uses.
+async fn bind_store() -> anyhow::Result<(u8, SocketAddr, Store)> {
+    let first = std::process::id() % NETWORKS;
+    for offset in 0..NETWORKS {
+        let network = FIRST_NETWORK + ((first + offset) % NETWORKS) as u8;
+        let store_address = address(network, STORE_NET, 1, STORE_PORT);
+        match Store::bind(store_address).await {
+            Ok(store) => return Ok((network, store_address, store)),
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    anyhow::bail!("every network of addresses is in use")
+}
+
 /// Returns the binary of the processes.
 fn binary(cli: &Cli) -> anyhow::Result<PathBuf> {
     if let Some(binary) = &cli.binary {
