--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -101,17 +101,27 @@
     }
 }
 
+/// How an upstream treats its callers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Behaviour {
+    /// It answers each request.
+    #[default]
+    Healthy,
+    /// Its process does not run.
+    Dead,
+    /// It takes requests and answers none.
+    Stuck,
+    /// It breaks off each request.
+    Failing,
+}
+
 /// Upstream that holds flows as a server on the network does.
 #[derive(Debug, Default)]
 pub struct Upstream {
     /// Number that it chose for each flow it accepted, and whether the caller confirmed it.
     pub flows: BTreeMap<FlowKey, (u32, bool)>,
     pub takes_new_flows: bool,
-    pub is_dead: bool,
-    /// It takes requests and answers none.
-    pub is_stuck: bool,
-    /// It breaks off each request.
-    pub is_failing: bool,
+    pub behaviour: Behaviour,
     /// Packets of established flows that it got although it does not hold them.
     pub strays: usize,
 }
@@ -262,7 +272,7 @@
             let is_heartbeat = self.now.get().is_multiple_of(HEARTBEAT_MS);
             for number in self.agents.keys().copied().collect::<Vec<_>>() {
                 self.agent_event(number, AgentEvent::Tick, None);
-                let is_alive = !self.agents[&number].upstream.is_dead;
+                let is_alive = self.agents[&number].upstream.behaviour != Behaviour::Dead;
                 if is_heartbeat && is_alive {
                     let sequence = self.now.get();
                     let event = AgentEvent::Report(report(1, sequence, self.is_draining(number)));
@@ -484,7 +494,7 @@
         let now = self.now;
         let node = self.agents.get_mut(&number).unwrap();
         let upstream = &mut node.upstream;
-        if upstream.is_dead {
+        if upstream.behaviour == Behaviour::Dead {
             return (Vec::new(), Some(Outcome::Lost));
         }
         let known = upstream.flows.get(&segment.flow).copied();
@@ -510,10 +520,10 @@
         let mut actions = Vec::new();
         let outcome = if let Some(answer) = answer {
             let mut answer = answer;
-            if upstream.is_failing && !segment.is_opening() {
+            if upstream.behaviour == Behaviour::Failing && !segment.is_opening() {
                 answer.kind = SegmentKind::Reset;
             }
-            if segment.is_opening() || !upstream.is_stuck {
+            if segment.is_opening() || upstream.behaviour != Behaviour::Stuck {
                 let event = AgentEvent::Sent(answer);
                 node.machine.handle(now, event, &mut actions);
             }
--- a/crates/opaque/tests/dead_upstream.rs
+++ b/crates/opaque/tests/dead_upstream.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fleet, Outcome, flow, report};
+use common::{Behaviour, Fleet, Outcome, flow, report};
 use googletest::prelude::*;
 use hawthorntide_opaque::AgentEvent;
 use hawthorntide_types::ResultCode;
@@ -18,7 +18,7 @@
         .iter_mut()
         .max_by_key(|(_, node)| node.upstream.flows.len())
         .unwrap();
-    node.upstream.is_dead = true;
+    node.upstream.behaviour = Behaviour::Dead;
     let (&key, &(number, _)) = node.upstream.flows.iter().next().unwrap();
     expect_that!(fleet.use_flow(1, key, number), eq(Outcome::Lost));
     fleet.run_for(250);
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fleet, Outcome, established, flow, opening, peer_address};
+use common::{Behaviour, Fleet, Outcome, established, flow, opening, peer_address};
 use googletest::prelude::*;
 use hawthorntide_opaque::{AgentEvent, SegmentKind};
 use hawthorntide_types::{Phase, ResultCode};
@@ -229,7 +229,7 @@
 fn an_unanswered_opening_packet_goes_on() {
     let mut fleet = Fleet::new(1, 3, 1);
     let key = flow(4, 0);
-    fleet.agents.get_mut(&100).unwrap().upstream.is_dead = true;
+    fleet.agents.get_mut(&100).unwrap().upstream.behaviour = Behaviour::Dead;
     let mut actions = Vec::new();
     let search = hawthorntide_opaque::Search {
         balancer: peer_address(1),
--- a/crates/opaque/tests/load.rs
+++ b/crates/opaque/tests/load.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fleet, IDLE_MS, Outcome, flow, opening, service, service_address};
+use common::{Behaviour, Fleet, IDLE_MS, Outcome, flow, opening, service, service_address};
 use googletest::prelude::*;
 use hawthorntide_opaque::{Backend, Configuration, Route};
 use hawthorntide_types::{ResultCode, Version};
@@ -32,7 +32,7 @@
         "only the caller's failure domain while it is calm"
     );
     for agent in &near {
-        fleet.agents.get_mut(agent).unwrap().upstream.is_stuck = true;
+        fleet.agents.get_mut(agent).unwrap().upstream.behaviour = Behaviour::Stuck;
     }
     // Requests pile up that are not answered.
     for caller in 0..100 {
@@ -62,7 +62,7 @@
 fn flows_are_taken_when_every_upstream_is_loaded() {
     let mut fleet = Fleet::new(1, 3, 1);
     for agent in fleet.agents.values_mut() {
-        agent.upstream.is_stuck = true;
+        agent.upstream.behaviour = Behaviour::Stuck;
     }
     open_many(&mut fleet, 0..60, 0);
     fleet.run_for(2_000);
@@ -76,7 +76,7 @@
 fn a_sudden_wave_of_new_flows_spreads_before_load_is_known() {
     let mut fleet = Fleet::new(1, 6, 1);
     for agent in fleet.agents.values_mut() {
-        agent.upstream.is_stuck = true;
+        agent.upstream.behaviour = Behaviour::Stuck;
     }
     let taken = open_many(&mut fleet, 0..12, 0);
     let most = taken.iter().map(|it| it.1).max();
@@ -119,7 +119,7 @@
     };
     expect_that!(of_second(&both), all![gt(10), lt(50)]);
     for number in [101, 103, 105] {
-        fleet.agents.get_mut(&number).unwrap().upstream.is_dead = true;
+        fleet.agents.get_mut(&number).unwrap().upstream.behaviour = Behaviour::Dead;
     }
     fleet.run_for(6_000);
     let helped = open_many(&mut fleet, 100..160, 60);
@@ -135,12 +135,12 @@
     };
     let calm = open_many(&mut fleet, 0..90, 60);
     let near = calm.iter().max_by_key(|it| it.1).unwrap().0;
-    fleet.agents.get_mut(&near).unwrap().upstream.is_failing = true;
+    fleet.agents.get_mut(&near).unwrap().upstream.behaviour = Behaviour::Failing;
     open_many(&mut fleet, 100..130, 60);
     fleet.run_for(500);
     let failing = open_many(&mut fleet, 200..260, 60);
     expect_that!(at(&failing, near), le(12), "{failing:?}");
-    fleet.agents.get_mut(&near).unwrap().upstream.is_failing = false;
+    fleet.agents.get_mut(&near).unwrap().upstream.behaviour = Behaviour::Healthy;
     fleet.run_for(30_000);
     let recovered = open_many(&mut fleet, 300..360, 60);
     expect_that!(at(&recovered, near), ge(50), "{recovered:?}");
