--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -35,6 +35,12 @@
 /// Longest time for removing the entry from the directory at the end.
 const LEAVE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Part of the log for requests, which has a line limit of its own.
+const REQUEST_LOG: &str = "hawthorntide_relay::request";
+
+/// Part of the log for packets that look for their upstream, many of which may come at once.
+const SEARCH_LOG: &str = "hawthorntide_relay::search";
+
 /// Options of an agent.
 #[derive(Clone, Debug)]
 pub struct RelayAgentOptions {
@@ -381,16 +387,22 @@
         return;
     };
     if let Some(request) = packet.get(HEADER_BYTES..).and_then(request_id) {
-        log::info!(flow:% = segment.flow, request; "relay: Request delivered.");
+        log::info!(target: REQUEST_LOG, flow:% = segment.flow, request; "relay: Request delivered.");
     }
 }
 
 fn log_passed(segment: Option<&Segment>, visited: &[SocketAddr], to: SocketAddr) {
     let Some(segment) = segment else {
-        log::info!(to:% = to, visited = visited.len(); "relay: Unanswered packet passed on.");
+        log::info!(
+            target: SEARCH_LOG,
+            to:% = to,
+            visited = visited.len();
+            "relay: Unanswered packet passed on."
+        );
         return;
     };
     log::info!(
+        target: SEARCH_LOG,
         flow:% = segment.flow,
         is_opening = segment.is_opening(),
         to:% = to,
