Move the health of an upstream into a module of its own

A heartbeat of an upstream that told its end, which was under way, no longer brings it back (test an_upstream_that_left_stays_gone).

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -6,9 +6,7 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{
-    DurationMs, PerMille, Phase, ResultCode, ServiceName, SlotCount, TimeMs, Weight,
-};
+use hawthorntide_types::{DurationMs, PerMille, Phase, ResultCode, ServiceName, TimeMs};
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::held::{FlowChange, HeldFlows};
@@ -17,6 +15,7 @@
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::placement::DomainTag;
 use crate::segment::{Segment, SegmentKind};
+use crate::upstream::{ReportKind, UpstreamHealth, UpstreamReport};
 use crate::view::Quest;
 
 /// Time after its entry in the directory during which a new agent takes no new flows: gossip has
@@ -26,39 +25,10 @@
 /// Time after which an agent takes new flows although its entry could not be written.
 const JOINING_LIMIT_MS: DurationMs = DurationMs(8_000);
 
-/// Heartbeats of the upstream that may be missed before it gets no new flows.
-const MISSED_HEARTBEATS: u64 = 3;
-
-/// Time without a sign of life after a packet that asks for an answer after which the agent looks
-/// whether the upstream still runs; most requests are answered sooner.
-const SUSPECT_AFTER_MS: DurationMs = DurationMs(200);
-
-/// Time between two looks.
-const PROBE_INTERVAL_MS: DurationMs = DurationMs(500);
-
-/// Opening packets in a row without an answer after which the upstream gets no new flows.
-const MAX_UNANSWERED: u32 = 3;
-
 /// Part of the load that the latest measurement makes up, in thousandths: the load follows a change
 /// within a second.
 const LOAD_GAIN: u32 = 300;
 
-/// Part of the failure rate that one request makes up, in thousandths: about twenty requests count.
-const FAILURE_GAIN: u32 = 50;
-
-/// Part of the failure rate that is left after each measurement, in thousandths: half of it goes in
-/// six seconds, so that an upstream that recovered is tried again.
-const FAILURE_DECAY: u32 = 972;
-
-/// Failure rate in thousandths from which an upstream gets few new flows.
-const FAILING_FROM: u32 = 100;
-
-/// Part of the new flows of a failing upstream, which show whether it recovered.
-const TRIAL_WEIGHT: Weight = Weight(50);
-
-/// Slots of an upstream that has not told them yet.
-const DEFAULT_SLOTS: u32 = 2;
-
 /// Agents that pass a new flow on because its request would wait there; the next one takes it.
 const MAX_CROWDED_HOPS: usize = 2;
 
@@ -80,37 +50,6 @@
     pub seed: u64,
 }
 
-/// What the upstream says of itself in a heartbeat.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct UpstreamReport {
-    /// Name that the upstream has at present.
-    pub id: String,
-    /// When the upstream started, in milliseconds of its clock; tells its lives apart.
-    pub born_ms: u64,
-    /// Position among the reports of one life.
-    pub sequence: u64,
-    /// The upstream is going to stop.
-    pub is_draining: bool,
-    /// Time for which the upstream is still slow after its start.
-    pub cold_for_ms: u64,
-    /// Requests that it works on at the same time.
-    pub slots: SlotCount,
-}
-
-impl UpstreamReport {
-    /// Returns whether this was said before `other` was.
-    fn is_older_than(&self, other: &Self) -> bool {
-        if self.born_ms != other.born_ms {
-            return self.born_ms < other.born_ms;
-        }
-        self.id == other.id && self.sequence < other.sequence
-    }
-
-    fn is_same_life(&self, other: &Self) -> bool {
-        self.born_ms == other.born_ms && self.id == other.id
-    }
-}
-
 /// Something that the machine learns.
 #[derive(Clone, Debug)]
 pub enum AgentEvent<'a> {
@@ -132,13 +71,6 @@
         /// Token under which it was delivered.
         token: u32,
     },
-    /// The upstream of another agent holds a flow.
-    Located {
-        /// Flow.
-        flow: FlowKey,
-        /// Agent.
-        holder: SocketAddr,
-    },
     /// Heartbeat of the upstream.
     Report(UpstreamReport),
     /// The upstream ended; it told its name, or the platform ends the VM.
@@ -226,25 +158,15 @@
 pub struct AgentMachine {
     gossip: GossipMachine,
     service: ServiceName,
-    heartbeat_ms: DurationMs,
     flows: HeldFlows,
     offers: Offers,
     phase: Phase,
     started: TimeMs,
     /// When the directory got the entry of the agent.
     entered: Option<TimeMs>,
-    upstream: Option<UpstreamReport>,
-    last_report: Option<TimeMs>,
-    unanswered: u32,
+    upstream: UpstreamHealth,
     /// Requests at the upstream for each thousand slots, smoothed.
     load: u32,
-    /// Requests that the upstream broke off, in thousandths of all, smoothed.
-    failure_rate: u32,
-    /// Since when a packet was delivered without a sign of life after it.
-    waiting_since: Option<TimeMs>,
-    last_probe: Option<TimeMs>,
-    /// The upstream's process does not run.
-    is_dead: bool,
 }
 
 impl AgentMachine {
@@ -253,20 +175,13 @@
         Self {
             gossip: GossipMachine::new(options.own, options.seed),
             service: options.service,
-            heartbeat_ms: options.heartbeat_ms,
             flows: HeldFlows::new(options.flow_idle_ms),
             offers: Offers::new(options.seed as u32),
             phase: Phase::Joining,
             started: now,
             entered: None,
-            upstream: None,
-            last_report: None,
-            unanswered: 0,
+            upstream: UpstreamHealth::new(now, options.heartbeat_ms),
             load: 0,
-            failure_rate: 0,
-            waiting_since: None,
-            last_probe: None,
-            is_dead: false,
         }
     }
 
@@ -282,7 +197,7 @@
 
     /// Returns whether the machine waits for answers of the upstream and wants ticks.
     pub fn awaits_answers(&self) -> bool {
-        self.offers.has_openings() || (self.waiting_since.is_some() && !self.is_dead)
+        self.offers.has_openings() || self.upstream.is_awaited()
     }
 
     /// Returns the phase of the upstream.
@@ -300,8 +215,6 @@
             } => self.forwarded(now, search, &segment, packet, out),
             AgentEvent::Sent(segment) => self.sent(now, &segment, out),
             AgentEvent::Returned { segment, token } => self.returned(now, &segment, token, out),
-            // Balancers keep these; an agent that passes packets on reaches the holder in turn.
-            AgentEvent::Located { .. } => {}
             AgentEvent::Report(report) => self.report(now, report, out),
             AgentEvent::Left(id) => self.left(now, id.as_deref(), out),
             AgentEvent::Entered { was_known } => {
@@ -330,7 +243,7 @@
             out.push(AgentAction::Drop(ResultCode::PacketMalformed));
             return;
         }
-        if self.is_dead {
+        if self.upstream.is_dead() {
             self.pass_on(now, search, segment, None, out);
             return;
         }
@@ -365,7 +278,7 @@
         let recent = self.offers.recent_openings();
         let expected = recent.filter(|flow| !self.flows.is_busy(flow)).count();
         let requests = self.flows.busy_flows() as usize + expected;
-        if requests <= self.slots() as usize || search.visited.len() >= MAX_CROWDED_HOPS {
+        if requests <= self.upstream.slots() as usize || search.visited.len() >= MAX_CROWDED_HOPS {
             return false;
         }
         let mut visited = search.visited.clone();
@@ -380,15 +293,6 @@
         self.gossip.view().next_agent(now, quest).is_some()
     }
 
-    fn slots(&self) -> u32 {
-        let reported = self.upstream.as_ref().map_or(0, |it| it.slots.get());
-        if reported == 0 {
-            DEFAULT_SLOTS
-        } else {
-            reported
-        }
-    }
-
     fn deliver(
         &mut self,
         now: TimeMs,
@@ -404,7 +308,7 @@
         };
         let token = self.offers.add(offer);
         if segment.is_opening() || segment.payload_bytes > 0 || segment.is_last {
-            self.waiting_since.get_or_insert(now);
+            self.upstream.asked(now);
         }
         if let Some(packet) = opening {
             self.offers.await_answer(OpenOffer {
@@ -418,16 +322,16 @@
     }
 
     fn sent(&mut self, now: TimeMs, segment: &Segment, out: &mut Vec<AgentAction>) {
-        self.lives();
+        self.upstream.lives();
         let change = self.flows.sent(now, segment);
         out.push(AgentAction::Reply);
         match change {
             Some(FlowChange::Accepted) => self.accepted(now, segment.flow, out),
             Some(FlowChange::Answered { after_ms }) => {
-                self.count_request(false);
+                self.upstream.count_request(false);
                 out.push(AgentAction::Answered { after_ms });
             }
-            Some(FlowChange::Broken) => self.count_request(true),
+            Some(FlowChange::Broken) => self.upstream.count_request(true),
             None => {}
         }
     }
@@ -465,7 +369,7 @@
     }
 
     fn returned(&mut self, now: TimeMs, segment: &Segment, token: u32, out: &mut Vec<AgentAction>) {
-        self.lives();
+        self.upstream.lives();
         if !segment.is_opening() {
             self.flows.remove(&segment.flow);
         }
@@ -508,18 +412,14 @@
     }
 
     fn report(&mut self, now: TimeMs, report: UpstreamReport, out: &mut Vec<AgentAction>) {
-        let known = self.upstream.as_ref();
-        if known.is_some_and(|known| report.is_older_than(known)) {
-            return;
-        }
-        let is_reborn = known.is_some_and(|known| !report.is_same_life(known));
-        if is_reborn {
-            self.end_flows(out);
-        }
-        self.last_report = Some(now);
-        self.lives();
         let is_draining = report.is_draining;
-        self.upstream = Some(report);
+        match self.upstream.take_report(now, report) {
+            ReportKind::Late => return,
+            // A heartbeat that was under way when its sender told its end.
+            ReportKind::SameLife if self.phase == Phase::Gone => return,
+            ReportKind::SameLife => {}
+            ReportKind::NewLife => self.end_flows(out),
+        }
         let phase = match self.phase {
             Phase::Joining if !is_draining && !self.is_known(now) => Phase::Joining,
             _ if is_draining => Phase::Draining,
@@ -528,16 +428,8 @@
         self.set_phase(now, phase, out);
     }
 
-    /// Notes a sign of life of the upstream.
-    const fn lives(&mut self) {
-        self.unanswered = 0;
-        self.waiting_since = None;
-        self.is_dead = false;
-    }
-
     fn probed(&mut self, now: TimeMs, is_refused: bool, out: &mut Vec<AgentAction>) {
-        if is_refused && self.waiting_since.is_some() {
-            self.is_dead = true;
+        if is_refused && self.upstream.end() {
             self.end_flows(out);
             self.publish(now, out);
         }
@@ -549,23 +441,8 @@
         out.extend(flows.map(|(flow, acknowledged)| AgentAction::Reset { flow, acknowledged }));
     }
 
-    /// Looks after an upstream that shows no life although packets wait there.
-    fn suspect(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
-        let is_silent = self
-            .waiting_since
-            .is_some_and(|since| now.since(since) >= SUSPECT_AFTER_MS);
-        let is_due = self
-            .last_probe
-            .is_none_or(|last| now.since(last) >= PROBE_INTERVAL_MS);
-        if is_silent && is_due && !self.is_dead {
-            self.last_probe = Some(now);
-            out.push(AgentAction::Probe);
-        }
-    }
-
     fn left(&mut self, now: TimeMs, id: Option<&str>, out: &mut Vec<AgentAction>) {
-        let known = self.upstream.as_ref();
-        if id.is_none_or(|id| known.is_none_or(|known| known.id == id)) {
+        if id.is_none_or(|id| self.upstream.has_id(id)) {
             self.set_phase(now, Phase::Gone, out);
         }
     }
@@ -575,7 +452,7 @@
             if self.flows.contains(&offer.flow) {
                 continue;
             }
-            self.unanswered = self.unanswered.saturating_add(1);
+            self.upstream.left_unanswered();
             let segment = Segment {
                 flow: offer.flow,
                 kind: SegmentKind::Opening { copy: 0 },
@@ -586,7 +463,9 @@
             };
             self.pass_on(now, offer.search, &segment, Some(opening.packet), out);
         }
-        self.suspect(now, out);
+        if self.upstream.should_be_probed(now) {
+            out.push(AgentAction::Probe);
+        }
         if self.phase == Phase::Joining && self.is_known(now) {
             self.phase = Phase::Serving;
         }
@@ -615,7 +494,7 @@
         let status = AgentStatus {
             service: self.service.clone(),
             phase: self.phase,
-            weight: self.weight(now),
+            weight: self.upstream.weight(now),
             load: PerMille(u16::try_from(self.load).unwrap_or(u16::MAX)),
         };
         let told = self.gossip.own().agent();
@@ -625,39 +504,12 @@
         self.spread(now, GossipEvent::OwnRole(PeerRole::Agent(status)), out);
     }
 
-    /// Takes the outcome of a request into the failure rate.
-    const fn count_request(&mut self, has_failed: bool) {
-        let outcome = if has_failed { 1_000 } else { 0 };
-        let kept = self.failure_rate * (1_000 - FAILURE_GAIN);
-        self.failure_rate = (kept + outcome * FAILURE_GAIN) / 1_000;
-    }
-
     fn measure(&mut self) {
-        self.failure_rate = self.failure_rate * FAILURE_DECAY / 1_000;
-        let reported = self.upstream.as_ref().map_or(0, |it| it.slots.get());
-        let slots = if reported == 0 {
-            DEFAULT_SLOTS
-        } else {
-            reported
-        };
-        let measured = self.flows.busy_flows() * 1_000 / slots;
+        self.upstream.measure();
+        let measured = self.flows.busy_flows() * 1_000 / self.upstream.slots();
         self.load = (self.load * (1_000 - LOAD_GAIN) + measured * LOAD_GAIN) / 1_000;
     }
 
-    /// Returns no weight for an upstream that shows no life, and little for one that fails requests,
-    /// whatever it says of its health.
-    fn weight(&self, now: TimeMs) -> Weight {
-        let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
-        let last = self.last_report.unwrap_or(self.started);
-        if self.is_dead || now.since(last) > limit || self.unanswered >= MAX_UNANSWERED {
-            Weight::NONE
-        } else if self.failure_rate >= FAILING_FROM {
-            TRIAL_WEIGHT
-        } else {
-            Weight::FULL
-        }
-    }
-
     fn spread(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<AgentAction>) {
         let mut actions = Vec::new();
         self.gossip.handle(now, event, &mut actions);
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -15,9 +15,10 @@
 mod placement;
 mod route;
 mod segment;
+mod upstream;
 mod view;
 
-pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions, UpstreamReport};
+pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions};
 pub use balancer::{BalancerDecision, BalancerMachine};
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{MessageError, PeerMessage, Search, decode, encode};
@@ -25,4 +26,5 @@
 pub use placement::DomainTag;
 pub use route::{Backend, Configuration, Route, RouteTable};
 pub use segment::{Segment, SegmentKind};
+pub use upstream::UpstreamReport;
 pub use view::{PeerView, SILENT_AFTER_MS};
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -120,6 +120,19 @@
     expect_that!(fleet.agents[&100].machine.phase(), eq(Phase::Serving));
 }
 
+// Guards against a heartbeat that was under way when its sender told its end.
+#[gtest]
+fn an_upstream_that_left_stays_gone() {
+    let mut fleet = Fleet::new(1, 2, 1);
+    fleet.agent_event(100, AgentEvent::Report(common::report(5, 7, true)), None);
+    let left = AgentEvent::Left(Some("upstream-5".to_owned()));
+    fleet.agent_event(100, left, None);
+    fleet.agent_event(100, AgentEvent::Report(common::report(5, 8, true)), None);
+    expect_that!(fleet.agents[&100].machine.phase(), eq(Phase::Gone));
+    fleet.agent_event(100, AgentEvent::Report(common::report(6, 1, false)), None);
+    expect_that!(fleet.agents[&100].machine.phase(), eq(Phase::Serving));
+}
+
 // Guards against flows of one service that reach another at an address that was used before.
 #[gtest]
 fn an_address_used_again_by_another_service_takes_none_of_the_old_one() {
