--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -59,8 +59,8 @@
         search: Search,
         /// Packet.
         segment: Segment,
-        /// Bytes of the packet.
-        packet: &'a [u8],
+        /// Bytes of an opening packet, which are kept until it is answered.
+        opening: &'a [u8],
     },
     /// Packet that the upstream sends to a caller.
     Sent(Segment),
@@ -211,8 +211,8 @@
             AgentEvent::Forwarded {
                 search,
                 segment,
-                packet,
-            } => self.forwarded(now, search, &segment, packet, out),
+                opening,
+            } => self.forwarded(now, search, &segment, opening, out),
             AgentEvent::Sent(segment) => self.sent(now, &segment, out),
             AgentEvent::Returned { segment, token } => self.returned(now, &segment, token, out),
             AgentEvent::Report(report) => self.report(now, report, out),
@@ -236,7 +236,7 @@
         now: TimeMs,
         search: Search,
         segment: &Segment,
-        packet: &[u8],
+        opening: &[u8],
         out: &mut Vec<AgentAction>,
     ) {
         if segment.kind == SegmentKind::Accepting {
@@ -267,7 +267,7 @@
         }
         let is_for_us = self.takes_new_flows() && search.service == self.service;
         if is_for_us && !self.leaves_to_others(now, &search, segment) {
-            self.deliver(now, search, segment, Some(packet), out);
+            self.deliver(now, search, segment, Some(opening), out);
         } else {
             self.pass_on(now, search, segment, None, out);
         }
@@ -398,14 +398,11 @@
             out.push(AgentAction::Drop(ResultCode::HopLimit));
             return;
         }
-        let quest = Quest {
-            flow: &segment.flow,
-            near: search.near,
-            service: &search.service,
-            visited: &search.visited,
-            is_opening: segment.is_opening(),
-        };
-        out.push(match self.gossip.view().next_agent(now, quest) {
+        let next = self
+            .gossip
+            .view()
+            .next_agent(now, Quest::of(&search, segment));
+        out.push(match next {
             Some(to) => AgentAction::PassOn { to, search, packet },
             None => AgentAction::GiveBack { search, packet },
         });
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -271,14 +271,8 @@
     }
 
     fn next_agent(&self, now: TimeMs, segment: &Segment, search: &Search) -> Option<SocketAddr> {
-        let quest = Quest {
-            flow: &segment.flow,
-            near: search.near,
-            service: &search.service,
-            visited: &search.visited,
-            is_opening: segment.is_opening(),
-        };
-        self.gossip.view().next_agent(now, quest)
+        let view = self.gossip.view();
+        view.next_agent(now, Quest::of(search, segment))
     }
 
     fn located_holder(&mut self, now: TimeMs, flow: &FlowKey) -> Option<SocketAddr> {
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 
 use hawthorntide_types::{DurationMs, TimeMs};
+use rand::SeedableRng;
 use rand::seq::{IndexedRandom, SliceRandom};
-use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::message::PeerMessage;
@@ -243,9 +243,4 @@
             peers,
         }
     }
-
-    /// Returns a number for the jitter of an edge.
-    pub fn jitter_ms(&mut self, most: DurationMs) -> DurationMs {
-        DurationMs(self.random.random_range(0..=most.get()))
-    }
 }
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -5,8 +5,10 @@
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, Phase, ServiceName, TimeMs};
 
+use crate::message::Search;
 use crate::peer::{AgentStatus, Peer};
 use crate::placement::{DomainTag, rank};
+use crate::segment::Segment;
 
 /// Time without news of a process after which it counts as unreachable: six rounds of gossip, in
 /// the last three of which it was asked directly.
@@ -71,6 +73,19 @@
     peers: Vec<KnownPeer>,
 }
 
+impl<'a> Quest<'a> {
+    /// Asks for the next agent of a packet on its way.
+    pub(crate) fn of(search: &'a Search, segment: &'a Segment) -> Self {
+        Self {
+            flow: &segment.flow,
+            near: search.near,
+            service: &search.service,
+            visited: &search.visited,
+            is_opening: segment.is_opening(),
+        }
+    }
+}
+
 impl KnownPeer {
     pub(crate) fn is_silent(&self, now: TimeMs) -> bool {
         let limit = if self.is_confirmed {
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -430,7 +430,7 @@
         let event = AgentEvent::Forwarded {
             search,
             segment,
-            packet: &[],
+            opening: &[],
         };
         let now = self.now;
         let node = self.agents.get_mut(&number).unwrap();
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -254,7 +254,7 @@
     let event = AgentEvent::Forwarded {
         search,
         segment: opening(key, 0),
-        packet: b"opening",
+        opening: b"opening",
     };
     let now = fleet.now;
     let machine = &mut fleet.agents.get_mut(&100).unwrap().machine;
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -10,11 +10,9 @@
     GossipEvent, PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
-    HEADER_BYTES, HttpEdge, MAX_PACKET_BYTES, PlatformStore, ProcessState, UpstreamHeartbeat,
-    UpstreamPacket, mark_for_upstream, read_from_caller, read_from_upstream, request_id,
-    reset_to_caller,
+    HEADER_BYTES, HttpEdge, MAX_PACKET_BYTES, ProcessState, UpstreamHeartbeat, UpstreamPacket,
+    mark_for_upstream, read_from_caller, read_from_upstream, request_id, reset_to_caller,
 };
-use hawthorntide_store::{ObjectStore, StoreOptions};
 use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
@@ -103,12 +101,7 @@
             weight: Weight::FULL,
             load: PerMille(0),
         }));
-        let store = ObjectStore::open_with(
-            process.store_address,
-            StoreOptions::default(),
-            Arc::new(PlatformStore),
-        );
-        let store = Arc::new(store.map_err(|_| BindError::Store)?);
+        let store = process.open_store()?;
         let clock = Clock::start();
         let machine_options = AgentOptions {
             own: own.clone(),
@@ -320,13 +313,18 @@
                         return;
                     }
                 };
-                let mut packet = packet.to_vec();
+                let start = datagram.len() - packet.len();
+                let opening = if segment.is_opening() {
+                    packet.to_vec()
+                } else {
+                    Vec::new()
+                };
                 let event = AgentEvent::Forwarded {
                     search,
                     segment,
-                    packet: &packet.clone(),
+                    opening: &opening,
                 };
-                self.handle(event, &mut packet, Some(&segment));
+                self.handle(event, &mut datagram[start..], Some(&segment));
             }
             Ok((PeerMessage::Exhausted(_) | PeerMessage::Located { .. }, _)) => {
                 log::warn!("relay: Message of {from} for a balancer dropped.");
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -11,10 +11,8 @@
     PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
-    HttpEdge, MAX_PACKET_BYTES, PlatformStore, ProcessState, UpstreamHeartbeat, read_from_caller,
-    reset_to_caller,
+    HttpEdge, MAX_PACKET_BYTES, ProcessState, UpstreamHeartbeat, read_from_caller, reset_to_caller,
 };
-use hawthorntide_store::{ObjectStore, StoreOptions};
 use hawthorntide_types::{DurationMs, ResultCode, TimeMs};
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
@@ -72,12 +70,7 @@
     pub async fn spawn(options: RelayBalancerOptions) -> Result<Self, BindError> {
         let process = &options.process;
         let own = process.peer(PeerRole::Balancer(BalancerStatus::default()));
-        let store = ObjectStore::open_with(
-            process.store_address,
-            StoreOptions::default(),
-            Arc::new(PlatformStore),
-        );
-        let store = Arc::new(store.map_err(|_| BindError::Store)?);
+        let store = process.open_store()?;
         let core = Arc::new(Core {
             clock: Clock::start(),
             machine: Mutex::new(BalancerMachine::new(own.clone(), process.seed)),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,12 +1,15 @@
 //! What both roles share: messages between processes and what they are logged as.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use hawthorntide_opaque::{GossipAction, Peer, PeerMessage, PeerRole, encode};
+use hawthorntide_platform::PlatformStore;
+use hawthorntide_store::{ObjectStore, StoreOptions};
 use hawthorntide_types::{FailureDomain, Incarnation};
 use tokio::net::UdpSocket;
 
-use crate::sockets::send;
+use crate::sockets::{BindError, send};
 
 /// Options that balancers and agents share.
 #[derive(Clone, Debug)]
@@ -37,6 +40,13 @@
         }
     }
 
+    /// Prepares calls of the platform store.
+    pub(crate) fn open_store(&self) -> Result<Arc<ObjectStore>, BindError> {
+        let options = StoreOptions::default();
+        let store = ObjectStore::open_with(self.store_address, options, Arc::new(PlatformStore));
+        Ok(Arc::new(store.map_err(|_| BindError::Store)?))
+    }
+
     /// Returns where seeds receive messages; all processes use the same port.
     pub(crate) fn seed_addresses(&self) -> Vec<SocketAddr> {
         let port = self.peer_address.port();
