Record open flows in the store, reset those that ended with a VM

Their callers had been waiting between two requests when the upstream went down; nobody could tell them, since the agents had lost their memory with the VMs, so the next request went into a flow that no longer existed. Ruled out: requests at the upstreams when they went down (10 of 503 kind at most), searches (a reset follows a packet at once).

Change: an agent records its open flows in the store every 4 s (rarer beyond 160 agents). After a start it reads the record and, once the upstream tells a later life, resets the flows of the record; with the same life it takes them over.

--- a/crates/admin/src/access.rs
+++ b/crates/admin/src/access.rs
@@ -55,7 +55,7 @@
         match object.key.kind {
             ObjectKind::Profile => catalog.profiles.extend(read(object)),
             ObjectKind::Service => catalog.services.extend(read(object)),
-            ObjectKind::WatcherSlot | ObjectKind::Directory => {}
+            ObjectKind::WatcherSlot | ObjectKind::Directory | ObjectKind::FlowRecord => {}
         }
     }
     catalog
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -3,6 +3,7 @@
 //! The agent is the gate of its upstream: each packet of a caller passes through it. It lets
 //! opening packets through only while the upstream serves the service that was asked for.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
@@ -14,6 +15,7 @@
 use crate::offer::{Offer, Offers, OpenOffer};
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::placement::DomainTag;
+use crate::record::{EarlierRecord, FlowRecord, record_interval_ms};
 use crate::segment::{Segment, SegmentKind};
 use crate::upstream::{ReportKind, UpstreamHealth, UpstreamReport};
 use crate::view::Quest;
@@ -80,6 +82,8 @@
         /// It had the agent before it started.
         was_known: bool,
     },
+    /// The record of the process before this one was read; there may be none.
+    RecordRead(Option<FlowRecord>),
     /// Time passed.
     Tick,
     /// The time to measure the load came.
@@ -165,6 +169,8 @@
     /// When the directory got the entry of the agent.
     entered: Option<TimeMs>,
     upstream: UpstreamHealth,
+    /// Record of the process before this one.
+    earlier: EarlierRecord,
     /// Requests at the upstream for each thousand slots, smoothed.
     load: u32,
 }
@@ -181,6 +187,7 @@
             started: now,
             entered: None,
             upstream: UpstreamHealth::new(now, options.heartbeat_ms),
+            earlier: EarlierRecord::default(),
             load: 0,
         }
     }
@@ -195,6 +202,25 @@
         self.flows.len()
     }
 
+    /// Returns the open flows for the platform store, unless the record there is still needed.
+    pub fn record(&self) -> Option<FlowRecord> {
+        let EarlierRecord::Settled = self.earlier else {
+            return None;
+        };
+        if self.phase == Phase::Gone {
+            return None;
+        }
+        Some(FlowRecord {
+            life: self.upstream.life()?,
+            flows: self.flows.record(),
+        })
+    }
+
+    /// Returns the time between two records.
+    pub fn record_interval_ms(&self, now: TimeMs) -> DurationMs {
+        record_interval_ms(self.gossip.view().live_agents(now))
+    }
+
     /// Returns whether the machine waits for answers of the upstream and wants ticks.
     pub fn awaits_answers(&self) -> bool {
         self.offers.has_openings() || self.upstream.is_awaited()
@@ -221,6 +247,10 @@
                 self.entered = Some(if was_known { now - JOINING_MS } else { now });
                 self.tick(now, out);
             }
+            AgentEvent::RecordRead(record) => {
+                self.earlier = record.map_or(EarlierRecord::Settled, EarlierRecord::Undecided);
+                self.settle_record(now, out);
+            }
             AgentEvent::Tick => self.tick(now, out),
             AgentEvent::Measure => {
                 self.measure();
@@ -417,6 +447,7 @@
             ReportKind::SameLife => {}
             ReportKind::NewLife => self.end_flows(out),
         }
+        self.settle_record(now, out);
         let phase = match self.phase {
             Phase::Joining if !is_draining && !self.is_known(now) => Phase::Joining,
             _ if is_draining => Phase::Draining,
@@ -425,6 +456,33 @@
         self.set_phase(now, phase, out);
     }
 
+    /// Resets the recorded flows if the upstream's life began after the record, and takes them over
+    /// if it is the same.
+    fn settle_record(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
+        let EarlierRecord::Undecided(record) = &self.earlier else {
+            return;
+        };
+        let Some(life) = self.upstream.life() else {
+            return;
+        };
+        let order = life.compare(&record.life);
+        let flows = record.flows.iter();
+        let flows = flows.filter(|recorded| !self.flows.contains(&recorded.flow));
+        match order {
+            Some(Ordering::Greater) => out.extend(flows.map(|recorded| AgentAction::Reset {
+                flow: recorded.flow,
+                acknowledged: recorded.acknowledged,
+            })),
+            Some(Ordering::Equal) => {
+                let flows: Vec<_> = flows.copied().collect();
+                self.flows.restore(now, &flows);
+            }
+            // The record is of a later life, or of one that cannot be ordered: it proves nothing.
+            Some(Ordering::Less) | None => {}
+        }
+        self.earlier = EarlierRecord::Settled;
+    }
+
     fn probed(&mut self, now: TimeMs, is_refused: bool, out: &mut Vec<AgentAction>) {
         if is_refused && self.upstream.end() {
             self.end_flows(out);
--- a/crates/opaque/src/held.rs
+++ b/crates/opaque/src/held.rs
@@ -5,6 +5,7 @@
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, TimeMs};
 
+use crate::record::{MAX_RECORDED_FLOWS, RecordedFlow};
 use crate::segment::{Segment, SegmentKind};
 
 /// Bytes that may be on their way between the ends of a flow: sixteen packets each way, twice.
@@ -25,6 +26,9 @@
     },
     /// The upstream sent data up to `end`.
     Open { end: u32 },
+    /// The upstream held it when the process before this one recorded it, with data up to `end`; it
+    /// may have sent any amount since.
+    Recorded { end: u32 },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -103,11 +107,38 @@
         flows
             .map(|(key, flow)| match flow.hold {
                 Hold::Accepting { expected } => (key, expected),
-                Hold::Open { end } => (key, end),
+                Hold::Open { end } | Hold::Recorded { end } => (key, end),
             })
             .collect()
     }
 
+    /// Returns the open flows.
+    pub(crate) fn record(&self) -> Vec<RecordedFlow> {
+        let flows = self.flows.iter();
+        let open = flows.filter_map(|(flow, held)| match held.hold {
+            Hold::Accepting { .. } => None,
+            Hold::Open { end } | Hold::Recorded { end } => Some(RecordedFlow {
+                flow: *flow,
+                acknowledged: end,
+            }),
+        });
+        open.take(MAX_RECORDED_FLOWS).collect()
+    }
+
+    /// Takes over flows that the upstream held before this process started.
+    pub(crate) fn restore(&mut self, now: TimeMs, flows: &[RecordedFlow]) {
+        for recorded in flows {
+            let flow = HeldFlow {
+                hold: Hold::Recorded {
+                    end: recorded.acknowledged,
+                },
+                last_packet: now,
+                busy_since: None,
+            };
+            self.flows.insert(recorded.flow, flow);
+        }
+    }
+
     /// Takes a packet that the upstream sent.
     pub(crate) fn sent(&mut self, now: TimeMs, segment: &Segment) -> Option<FlowChange> {
         self.expire(now);
@@ -146,7 +177,11 @@
             return false;
         };
         let is_ours = match (segment.kind, flow.hold) {
-            (SegmentKind::Opening { .. } | SegmentKind::Reset, _) => true,
+            // A new flow with the numbers of one that ended since the record.
+            (SegmentKind::Opening { .. }, Hold::Recorded { .. }) => false,
+            (SegmentKind::Opening { .. } | SegmentKind::Reset, _) | (_, Hold::Recorded { .. }) => {
+                true
+            }
             (_, Hold::Accepting { expected }) => {
                 segment.acknowledged.wrapping_sub(expected) <= SEQUENCE_WINDOW
             }
--- a/crates/opaque/src/upstream.rs
+++ b/crates/opaque/src/upstream.rs
@@ -2,6 +2,8 @@
 
 use hawthorntide_types::{DurationMs, SlotCount, TimeMs, Weight};
 
+use crate::record::UpstreamLife;
+
 /// Heartbeats of the upstream that may be missed before it gets no new flows.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -170,6 +172,15 @@
         }
     }
 
+    /// Returns the life that the upstream told.
+    pub(crate) fn life(&self) -> Option<UpstreamLife> {
+        let report = self.report.as_ref()?;
+        Some(UpstreamLife {
+            id: report.id.clone(),
+            born_ms: report.born_ms,
+        })
+    }
+
     /// Returns whether `id` is the name of the upstream, or may be.
     pub(crate) fn has_id(&self, id: &str) -> bool {
         self.report.as_ref().is_none_or(|report| report.id == id)
--- /dev/null
+++ b/crates/opaque/tests/record.rs
@@ -0,0 +1,156 @@
+//! Guards flows across the loss of an agent, with or without its upstream.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{Fleet, Outcome, agent_role, flow, opening, peer, peer_address, report};
+use googletest::prelude::*;
+use hawthorntide_opaque::{AgentEvent, FlowRecord, GossipEvent, Peer, UpstreamLife};
+use hawthorntide_routing::FlowKey;
+use hawthorntide_types::{DurationMs, Phase};
+
+const AGENT: u8 = 100;
+
+/// Opens flows at the only agent and returns them with the number that its upstream chose.
+fn fleet_with_flows() -> (Fleet, Vec<(FlowKey, u32)>) {
+    let mut fleet = Fleet::new(1, 1, 1);
+    let mut flows = Vec::new();
+    for caller in 0..5 {
+        let key = flow(caller, 0);
+        let (_, number) = fleet.open(1, key).unwrap();
+        flows.push((key, number));
+    }
+    fleet.run_for(1_000);
+    (fleet, flows)
+}
+
+fn record_of(fleet: &mut Fleet) -> FlowRecord {
+    fleet.agent_event(AGENT, AgentEvent::RecordRead(None), None);
+    fleet.agents[&AGENT].machine.record().unwrap()
+}
+
+fn read(fleet: &mut Fleet, record: &FlowRecord) {
+    let event = AgentEvent::RecordRead(Some(record.clone()));
+    fleet.agent_event(AGENT, event, None);
+}
+
+fn report_life(fleet: &mut Fleet, born_ms: u64) {
+    let event = AgentEvent::Report(report(born_ms, 1, false));
+    fleet.agent_event(AGENT, event, None);
+}
+
+fn reset_callers(fleet: &Fleet) -> Vec<FlowKey> {
+    let mut flows = fleet.reset_flows.clone();
+    flows.sort();
+    flows
+}
+
+// Power loss of a VM: callers that wait between two requests learned of the end of their flow from
+// the request that was lost with it.
+#[gtest]
+fn flows_that_ended_with_the_vm_are_reset_before_their_callers_use_them() {
+    for record_comes_first in [true, false] {
+        let (mut fleet, flows) = fleet_with_flows();
+        let record = record_of(&mut fleet);
+        expect_that!(record.flows.len(), eq(flows.len()));
+        fleet.agents.get_mut(&AGENT).unwrap().upstream.flows.clear();
+        fleet.restart_agent(AGENT);
+        if record_comes_first {
+            read(&mut fleet, &record);
+            expect_that!(fleet.reset_flows, is_empty(), "the upstream may live");
+            report_life(&mut fleet, 2);
+        } else {
+            report_life(&mut fleet, 2);
+            read(&mut fleet, &record);
+        }
+        let all: Vec<_> = flows.iter().map(|(key, _)| *key).collect();
+        expect_that!(reset_callers(&fleet), eq(&all));
+    }
+}
+
+// Kill of an agent alone: its upstream holds the flows, which have gone on by any number of bytes.
+#[gtest]
+fn flows_of_an_upstream_that_lives_are_taken_over() {
+    let (mut fleet, flows) = fleet_with_flows();
+    let record = record_of(&mut fleet);
+    fleet.restart_agent(AGENT);
+    read(&mut fleet, &record);
+    report_life(&mut fleet, 1);
+    expect_that!(fleet.reset_flows, is_empty());
+    expect_that!(
+        fleet.agents[&AGENT].machine.record(),
+        some(field!(FlowRecord.flows, len(eq(flows.len())))),
+        "the next record has callers that were silent in between"
+    );
+    for (key, number) in flows {
+        let far_on = fleet.use_flow(1, key, number.wrapping_add(10_000_000));
+        expect_that!(far_on, eq(Outcome::Taken(AGENT)));
+    }
+}
+
+// A heartbeat of an earlier life that was under way proves nothing about the recorded one.
+#[gtest]
+fn an_earlier_or_unordered_life_resets_nothing() {
+    let (mut fleet, _) = fleet_with_flows();
+    let mut record = record_of(&mut fleet);
+    record.life.born_ms = 7;
+    fleet.restart_agent(AGENT);
+    read(&mut fleet, &record);
+    report_life(&mut fleet, 1);
+    expect_that!(fleet.reset_flows, is_empty());
+
+    record.life = UpstreamLife {
+        id: "another".to_owned(),
+        born_ms: 1,
+    };
+    fleet.restart_agent(AGENT);
+    read(&mut fleet, &record);
+    report_life(&mut fleet, 1);
+    expect_that!(fleet.reset_flows, is_empty());
+}
+
+// The record of the process before is all that its callers have until the upstream told its life.
+#[gtest]
+fn a_record_is_not_replaced_before_it_was_used() {
+    let (mut fleet, _) = fleet_with_flows();
+    let record = record_of(&mut fleet);
+    fleet.restart_agent(AGENT);
+    report_life(&mut fleet, 1);
+    expect_that!(fleet.agents[&AGENT].machine.record(), none());
+    read(&mut fleet, &record);
+    expect_that!(fleet.agents[&AGENT].machine.record(), some(anything()));
+}
+
+// Ports are used again: a new flow with the numbers of a recorded one passes the gate like any other.
+#[gtest]
+fn a_recorded_flow_opens_no_gate() {
+    let (mut fleet, flows) = fleet_with_flows();
+    let record = record_of(&mut fleet);
+    fleet.agents.get_mut(&AGENT).unwrap().upstream.flows.clear();
+    fleet.restart_agent(AGENT);
+    read(&mut fleet, &record);
+    let event = AgentEvent::Report(report(1, 1, true));
+    fleet.agent_event(AGENT, event, None);
+    let outcome = fleet.send(1, opening(flows[0].0, 0));
+    expect_that!(outcome, not(eq(Outcome::Taken(AGENT))));
+}
+
+// Design size: records of all agents together stay within what the store takes.
+#[gtest]
+fn records_grow_rarer_with_the_number_of_agents() {
+    let mut fleet = Fleet::new(1, 10, 1);
+    let interval = |fleet: &Fleet| fleet.agents[&AGENT].machine.record_interval_ms(fleet.now);
+    expect_that!(interval(&fleet), eq(DurationMs(4_000)));
+    let others = (0..390u16).map(|number| Peer {
+        address: SocketAddr::from(([10, 1, 0, 1], 1_000 + number)),
+        ..peer(200, 1, agent_role(0, Phase::Serving))
+    });
+    let message = GossipEvent::Message {
+        from: peer_address(1),
+        wants_answer: false,
+        peers: others.collect(),
+    };
+    fleet.gossip(AGENT, message);
+    expect_that!(interval(&fleet), eq(DurationMs(10_000)));
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -7,21 +7,23 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, GOSSIP_INTERVAL_MS,
-    GossipEvent, PeerMessage, PeerRole, Segment, decode,
+    GossipEvent, Peer, PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
     HEADER_BYTES, HttpEdge, MAX_PACKET_BYTES, ProcessState, UpstreamHeartbeat, UpstreamPacket,
     mark_for_upstream, read_from_caller, read_from_upstream, request_id, reset_to_caller,
 };
+use hawthorntide_store::{ObjectKind, ObjectStore};
 use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, timeout};
 
-use crate::directory::{Directory, DirectoryNews};
+use crate::directory::{Directory, DirectoryNews, object_key, remove};
 use crate::metric::{AgentMetrics, count_refusal};
 use crate::peers::{ProcessOptions, carry_out, send_message};
+use crate::record::FlowRecorder;
 use crate::sockets::{BindError, Clock, MAX_DATAGRAM_BYTES, bind, receive, send};
 
 /// Pause between two looks at opening packets that wait for an answer.
@@ -30,7 +32,7 @@
 /// Longest time for a connection within the VM.
 const PROBE_TIME: Duration = Duration::from_millis(300);
 
-/// Longest time for removing the entry from the directory at the end.
+/// Longest time for removing what the store keeps for the agent at its end.
 const LEAVE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Part of the log for requests, which has a line limit of its own.
@@ -68,7 +70,8 @@
 #[derive(Debug)]
 pub struct RelayAgent {
     core: Arc<Core>,
-    directory: Option<Directory>,
+    own: Peer,
+    store: Arc<ObjectStore>,
     _edges: Vec<HttpEdge>,
     _tasks: JoinSet<()>,
 }
@@ -146,14 +149,23 @@
         tasks.spawn(Arc::clone(&core).gossip_rounds());
         tasks.spawn(Arc::clone(&core).check_answers());
         tasks.spawn(Arc::clone(&core).probe_upstream());
-        let directory = Directory::new(store, &own);
-        if let Some(directory) = directory.clone() {
+        if let Some(directory) = Directory::new(Arc::clone(&store), &own) {
             let core = Arc::clone(&core);
             tasks.spawn(directory.run(move |news| core.take_directory(news)));
         }
+        if let Some(key) = object_key(ObjectKind::FlowRecord, &own) {
+            let recorder = FlowRecorder::new(Arc::clone(&store), key);
+            let (reader, writer, timer) = (Arc::clone(&core), Arc::clone(&core), Arc::clone(&core));
+            tasks.spawn(recorder.run(
+                move |record| reader.handle(AgentEvent::RecordRead(record), &mut [], None),
+                move || writer.machine().record(),
+                move || timer.machine().record_interval_ms(timer.clock.now()),
+            ));
+        }
         Ok(Self {
             core,
-            directory,
+            own,
+            store,
             _edges: edges,
             _tasks: tasks,
         })
@@ -168,10 +180,17 @@
             return;
         }
         self.core.handle(AgentEvent::Left(None), &mut [], None);
-        if let Some(directory) = &self.directory
-            && timeout(LEAVE_TIME, directory.leave()).await.is_err()
-        {
-            log::warn!("relay: Directory entry not removed in time.");
+        if timeout(LEAVE_TIME, self.remove_objects()).await.is_err() {
+            log::warn!("relay: Objects in the store not removed in time.");
+        }
+    }
+
+    /// Removes what the store keeps for this agent.
+    async fn remove_objects(&self) {
+        for kind in [ObjectKind::Directory, ObjectKind::FlowRecord] {
+            if let Some(key) = object_key(kind, &self.own) {
+                remove(&self.store, &key).await;
+            }
         }
     }
 }
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -46,10 +46,9 @@
             beat: 0,
             ..own.clone()
         };
-        let name = format!("{}.{}", own.address.ip(), own.address.port());
         Some(Self {
             store,
-            key: ObjectKey::new(ObjectKind::Directory, name).ok()?,
+            key: object_key(ObjectKind::Directory, own)?,
             entry: serde_json::to_value(entry).ok()?,
         })
     }
@@ -93,15 +92,6 @@
         }
     }
 
-    /// Removes the entry of a process that does not come back.
-    pub(crate) async fn leave(&self) {
-        let Ok(Some(object)) = self.store.get(&self.key).await else {
-            return;
-        };
-        let outcome = self.store.delete_if(&self.key, object.version).await;
-        log::info!(key:% = self.key, code:% = outcome.code(); "relay: Directory entry removed.");
-    }
-
     /// Writes the entry on top of `theirs`, the object with its name.
     async fn enter(&self, mut theirs: Option<StoredObject>) {
         let mut backoff = Backoff::default();
@@ -131,6 +121,26 @@
     }
 }
 
+/// Names the object of a kind that belongs to the process.
+pub(crate) fn object_key(kind: ObjectKind, own: &Peer) -> Option<ObjectKey> {
+    let name = format!("{}.{}", own.address.ip(), own.address.port());
+    ObjectKey::new(kind, name).ok()
+}
+
+/// Removes an object of a process that does not come back.
+pub(crate) async fn remove(store: &ObjectStore, key: &ObjectKey) {
+    let object = match store.get(key).await {
+        Ok(Some(object)) if !object.is_deleted => object,
+        Ok(_) => return,
+        Err(error) => {
+            log::warn!(key:% = key; "relay: Object not removed: {error}.");
+            return;
+        }
+    };
+    let outcome = store.delete_if(key, object.version).await;
+    log::info!(key:% = key, code:% = outcome.code(); "relay: Object removed.");
+}
+
 fn objects(page: ListPage) -> Vec<StoredObject> {
     let objects = page.objects.into_iter();
     objects.filter_map(StoredObject::read).collect()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod metric;
 mod peers;
+mod record;
 mod sockets;
 
 pub use agent::{RelayAgent, RelayAgentOptions};
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -29,15 +29,18 @@
     WatcherSlot,
     /// directory
     Directory,
+    /// flow-record
+    FlowRecord,
 }
 
 impl ObjectKind {
     /// All kinds in ascending order.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Profile,
         Self::Service,
         Self::WatcherSlot,
         Self::Directory,
+        Self::FlowRecord,
     ];
 }
 
