--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -100,7 +100,7 @@
     log::info!(
         key:% = object.key,
         version:% = object.version,
-        upstream = record.life.id,
+        upstream:% = record.life.id,
         born_ms = record.life.born_ms,
         flows = record.flows.len();
         "relay: Flow record read."
