Get the configuration from another balancer when the store does not answer

Cause: a balancer that the store turned away kept its old routes until the store served it again, although others told by gossip that they had later ones. Those that do not watch read each version from the store, one call each.

Change: a balancer that does not watch, because others do or because the store does not answer, asks the balancer that is furthest ahead, over HTTP at the address for messages between processes, and the store only if that fails.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, NodeId, Phase, ResultCode, ServiceName, TimeMs};
+use hawthorntide_types::{DurationMs, NodeId, Phase, ResultCode, ServiceName, TimeMs, Version};
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
@@ -48,6 +48,17 @@
     Drop(ResultCode),
 }
 
+/// What a balancer does about the configuration at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConfigurationTask {
+    /// Watches the store.
+    Watch,
+    /// Asks another balancer, which has a later version.
+    Ask(SocketAddr),
+    /// Leaves it to other balancers.
+    Rest,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LocatedFlow {
     holder: SocketAddr,
@@ -149,10 +160,40 @@
 
     /// Returns whether another balancer has a later version of the routes.
     pub fn is_behind(&self, now: TimeMs) -> bool {
+        self.ahead(now).next().is_some()
+    }
+
+    /// Returns what to do about the configuration at present.
+    ///
+    /// A balancer that watches hears of a change itself. One that does not, because others do or
+    /// because the store does not answer it, asks a balancer that is ahead.
+    pub fn configuration_task(&self, now: TimeMs) -> ConfigurationTask {
+        let own = self.gossip.own();
+        let is_watching = own.balancer().is_some_and(|status| status.is_watching);
+        if !is_watching && let Some(peer) = self.latest(now) {
+            ConfigurationTask::Ask(peer)
+        } else if self.should_watch(now) {
+            ConfigurationTask::Watch
+        } else {
+            ConfigurationTask::Rest
+        }
+    }
+
+    /// Returns the balancer that is furthest ahead; of several, each balancer picks another one.
+    fn latest(&self, now: TimeMs) -> Option<SocketAddr> {
+        let own = watch_rank(self.gossip.own().address);
+        let latest = self.ahead(now).max_by_key(|(version, address)| {
+            (*version, (watch_rank(*address) ^ own).reverse_bits())
+        });
+        latest.map(|(_, address)| address)
+    }
+
+    /// Returns the balancers that have a later version of the routes.
+    fn ahead(&self, now: TimeMs) -> impl Iterator<Item = (Version, SocketAddr)> {
         let own = self.routes.version();
         let balancers = self.gossip.view().live_balancers(now);
-        let mut versions = balancers.filter_map(|peer| Some(peer.balancer()?.version));
-        versions.any(|version| version > own)
+        let versions = balancers.filter_map(|peer| Some((peer.balancer()?.version, peer.address)));
+        versions.filter(move |(version, _)| *version > own)
     }
 
     /// Returns the other balancers that watch the store.
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -20,7 +20,7 @@
 mod view;
 
 pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions};
-pub use balancer::{BalancerDecision, BalancerMachine};
+pub use balancer::{BalancerDecision, BalancerMachine, ConfigurationTask};
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{Gossip, MessageError, PeerMessage, Search, ToldPeer, Wanted, decode, encode};
 pub use peer::{AgentStatus, BalancerStatus, Peer, PeerRole};
--- a/crates/opaque/tests/watchers.rs
+++ b/crates/opaque/tests/watchers.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{Fleet, configuration};
+use common::{Fleet, configuration, peer_address};
 use googletest::prelude::*;
-use hawthorntide_opaque::GossipEvent;
+use hawthorntide_opaque::{ConfigurationTask, GossipEvent};
 
 /// Lets each balancer tell whether it watches, as its edge does after an answer of the store.
 fn settle(fleet: &mut Fleet, unanswered: &[u8]) -> Vec<u8> {
@@ -64,3 +64,36 @@
         expect_that!(balancer.is_behind(fleet.now), eq(*number != 1));
     }
 }
+
+// Guards against a balancer that the store turns away and that keeps old routes while others have
+// later ones.
+#[gtest]
+fn a_balancer_that_does_not_watch_asks_the_one_that_is_furthest_ahead() {
+    let mut fleet = Fleet::new(3, 2, 1);
+    settle(&mut fleet, &[1]);
+    let task = |fleet: &Fleet, number: u8| fleet.balancers[&number].configuration_task(fleet.now);
+    expect_that!(task(&fleet, 1), eq(ConfigurationTask::Watch));
+    for (number, version) in [(2, 2), (3, 3)] {
+        let balancer = fleet.balancers.get_mut(&number).unwrap();
+        balancer.apply(configuration(version, 1));
+        let role = balancer.role(true);
+        fleet.gossip(number, GossipEvent::OwnRole(role));
+    }
+    let furthest = ConfigurationTask::Ask(peer_address(3));
+    expect_that!(
+        task(&fleet, 1),
+        eq(furthest),
+        "the store does not answer it"
+    );
+    expect_that!(
+        task(&fleet, 2),
+        eq(ConfigurationTask::Watch),
+        "it hears itself"
+    );
+    fleet
+        .balancers
+        .get_mut(&1)
+        .unwrap()
+        .apply(configuration(3, 1));
+    expect_that!(task(&fleet, 1), eq(ConfigurationTask::Watch));
+}
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -7,8 +7,8 @@
 
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
-    BalancerDecision, BalancerMachine, BalancerStatus, GOSSIP_INTERVAL_MS, GossipEvent,
-    PeerMessage, PeerRole, Segment, decode,
+    BalancerDecision, BalancerMachine, BalancerStatus, Configuration, GOSSIP_INTERVAL_MS,
+    GossipEvent, PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
     HttpEdge, MAX_PACKET_BYTES, ProcessState, UpstreamHeartbeat, read_from_caller, reset_to_caller,
@@ -18,8 +18,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 
-use crate::configuration::{ConfigurationNews, ConfigurationTask, follow};
+use crate::configuration::{ConfigurationNews, follow};
 use crate::directory::{Directory, DirectoryNews};
+use crate::exchange::{ConfigurationClient, ConfigurationEdge, ConfigurationSource};
 use crate::metric::{BalancerMetrics, count_refusal};
 use crate::peers::{ProcessOptions, carry_out, send_message};
 use crate::sockets::{BindError, Clock, MAX_DATAGRAM_BYTES, bind, receive, send};
@@ -48,6 +49,7 @@
 #[derive(Debug)]
 pub struct RelayBalancer {
     core: Arc<Core>,
+    _exchange: ConfigurationEdge,
     _edges: Vec<HttpEdge>,
     _tasks: JoinSet<()>,
 }
@@ -90,6 +92,10 @@
             let edge = HttpEdge::bind(address, state).await;
             edges.push(edge.map_err(|source| BindError::Bind { address, source })?);
         }
+        let source: Arc<dyn ConfigurationSource> = Arc::clone(&core) as _;
+        let address = process.peer_address;
+        let exchange = ConfigurationEdge::bind(address, source).await;
+        let exchange = exchange.map_err(|source| BindError::Bind { address, source })?;
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&core).take_packets());
         tasks.spawn(Arc::clone(&core).take_messages());
@@ -97,7 +103,8 @@
         let (asked, configured) = (Arc::clone(&core), Arc::clone(&core));
         tasks.spawn(follow(
             Arc::clone(&store),
-            move || asked.configuration_task(),
+            ConfigurationClient::open().map_err(|_| BindError::Exchange)?,
+            move || asked.machine().configuration_task(asked.clock.now()),
             move |news| configured.configure(news),
         ));
         if let Some(directory) = Directory::new(store, &own) {
@@ -110,6 +117,7 @@
         }
         Ok(Self {
             core,
+            _exchange: exchange,
             _edges: edges,
             _tasks: tasks,
         })
@@ -263,18 +271,6 @@
         carry_out(&self.peers, actions, &mut self.buffer());
     }
 
-    fn configuration_task(&self) -> ConfigurationTask {
-        let now = self.clock.now();
-        let machine = self.machine();
-        if machine.should_watch(now) {
-            ConfigurationTask::Watch
-        } else if machine.is_behind(now) {
-            ConfigurationTask::Read
-        } else {
-            ConfigurationTask::Rest
-        }
-    }
-
     fn configure(&self, news: ConfigurationNews) {
         let now = self.clock.now();
         let role = match news {
@@ -299,6 +295,12 @@
     }
 }
 
+impl ConfigurationSource for Core {
+    fn configuration(&self) -> Option<Configuration> {
+        self.machine().routes().configuration().cloned()
+    }
+}
+
 impl ProcessState for Core {
     fn is_ready(&self) -> bool {
         !self.is_stopping.load(Ordering::Relaxed) && self.machine().is_ready(self.clock.now())
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -1,17 +1,19 @@
 //! The operator's configuration in the platform store.
 //!
-//! A few balancers watch it; the others read it when one of these has a later version.
+//! A few balancers watch it; the others ask one of these that has a later version.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthorntide_opaque::Configuration;
+use hawthorntide_opaque::{Configuration, ConfigurationTask};
 use hawthorntide_platform::read_configuration;
 use hawthorntide_store::{Collection, Freshness, ObjectBody, ObjectStore, StoreError};
 use hawthorntide_types::{DurationMs, Version};
 use tokio::time::sleep;
 
 use crate::backoff::Backoff;
+use crate::exchange::ConfigurationClient;
 
 /// Longest wait of a watch; a connection that went silent is noticed a second after it.
 const WATCH_WAIT_MS: DurationMs = DurationMs(2_500);
@@ -33,38 +35,37 @@
     Unwatched,
 }
 
-/// What a balancer does about the configuration at present.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ConfigurationTask {
-    /// Watches the store.
-    Watch,
-    /// Reads the store once.
-    Read,
-    /// Leaves it to other balancers.
-    Rest,
-}
-
 /// Follows the configuration; `task` tells what to do next, `take` gets what the store tells.
 pub(crate) async fn follow(
     store: Arc<ObjectStore>,
+    peers: ConfigurationClient,
     task: impl Fn() -> ConfigurationTask,
     mut take: impl FnMut(ConfigurationNews),
 ) {
     let mut revision = None;
+    let mut has_configuration = false;
     let mut backoff = Backoff::default();
     loop {
-        let result = match (task(), revision) {
-            (ConfigurationTask::Rest, Some(_)) => {
-                take(ConfigurationNews::Unwatched);
-                rest(&task).await;
-                continue;
-            }
+        let current_task = task();
+        if current_task == ConfigurationTask::Rest && has_configuration {
+            take(ConfigurationNews::Unwatched);
+            rest(&task).await;
+            continue;
+        }
+        if let ConfigurationTask::Ask(peer) = current_task
+            && ask(&peers, peer, &mut take).await
+        {
+            has_configuration = true;
+            continue;
+        }
+        let result = match (current_task, revision) {
             (ConfigurationTask::Watch, Some(from)) => watch(&store, from, &mut take).await,
-            (ConfigurationTask::Read, _) | (_, None) => list(&store, &mut take).await,
+            _ => list(&store, &mut take).await,
         };
         match result {
             Ok(reached) => {
                 revision = Some(reached);
+                has_configuration = true;
                 backoff.reset();
             }
             Err(StoreError::RevisionGone) => {
@@ -80,6 +81,28 @@
     }
 }
 
+/// Asks another balancer; returns whether it answered.
+async fn ask(
+    peers: &ConfigurationClient,
+    peer: SocketAddr,
+    take: &mut impl FnMut(ConfigurationNews),
+) -> bool {
+    match peers.fetch(peer).await {
+        Ok(configuration) => {
+            log::info!(peer:% = peer, version:% = configuration.version; "relay: Configuration got from another balancer.");
+            take(ConfigurationNews::Read(configuration));
+            take(ConfigurationNews::Unwatched);
+            // A peer that went back to an earlier version, since it restarted, is not asked at once.
+            sleep(GOSSIP_LOOK).await;
+            true
+        }
+        Err(error) => {
+            log::warn!(peer:% = peer; "relay: Configuration not got from another balancer: {error}.");
+            false
+        }
+    }
+}
+
 /// Waits until there is something to do.
 async fn rest(task: &impl Fn() -> ConfigurationTask) {
     while task() == ConfigurationTask::Rest {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod configuration;
 mod directory;
+mod exchange;
 mod metric;
 mod peers;
 mod record;
--- a/crates/relay/src/sockets.rs
+++ b/crates/relay/src/sockets.rs
@@ -26,6 +26,8 @@
     },
     /// cannot prepare calls of the platform store
     Store,
+    /// cannot prepare calls of other balancers
+    Exchange,
 }
 
 /// Steady clock of the process; it starts late enough for times before the start to be told.
--- a/src/opaque.rs
+++ b/src/opaque.rs
@@ -112,7 +112,7 @@
 fn failure(error: BindError) -> Failure {
     let code = match &error {
         BindError::Bind { .. } => ResultCode::AddressInUse,
-        BindError::Store => ResultCode::Failure,
+        BindError::Store | BindError::Exchange => ResultCode::Failure,
     };
     Failure::new(code, error)
 }
