--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -204,10 +204,8 @@
 
     /// Returns the open flows for the platform store, unless the record there is still needed.
     pub fn record(&self) -> Option<FlowRecord> {
-        let EarlierRecord::Settled = self.earlier else {
-            return None;
-        };
-        if self.phase == Phase::Gone {
+        let is_settled = matches!(self.earlier, EarlierRecord::Settled);
+        if !is_settled || self.phase == Phase::Gone {
             return None;
         }
         Some(FlowRecord {
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -258,6 +258,7 @@
         }
     }
 
+    /// Sends a message that wants an answer, and remembers that one is due.
     fn ask(&mut self, now: TimeMs, to: SocketAddr, wanted: Wanted, out: &mut Vec<GossipAction>) {
         if let Some(known) = self.view.find_known_mut(to) {
             known.ask();
@@ -344,6 +345,7 @@
         self.push(to, wanted, others, doubted, out);
     }
 
+    /// Sends a message with the own state and what the arguments add.
     fn push(
         &self,
         to: SocketAddr,
--- a/crates/opaque/src/record.rs
+++ b/crates/opaque/src/record.rs
@@ -22,7 +22,7 @@
 const RECORDS_PER_SECOND: u64 = 8;
 
 /// Flows that a record keeps, so that it stays below the size of an object in the platform store.
-pub(crate) const MAX_RECORDED_FLOWS: usize = 8_000;
+pub const MAX_RECORDED_FLOWS: usize = 8_000;
 
 /// Life of an upstream, from its start to its end.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- /dev/null
+++ b/crates/relay/tests/record.rs
@@ -0,0 +1,31 @@
+//! Guards the size of a flow record against the limit of the platform store.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use hawthorntide_opaque::{FlowRecord, MAX_RECORDED_FLOWS, RecordedFlow, UpstreamLife};
+use hawthorntide_routing::FlowKey;
+use hawthorntide_store::MAX_VALUE_BYTES;
+
+#[gtest]
+fn the_largest_record_fits_into_an_object() {
+    let longest = SocketAddr::from(([255, 255, 255, 255], u16::MAX));
+    let flow = RecordedFlow {
+        flow: FlowKey {
+            caller: longest,
+            service_address: longest,
+        },
+        acknowledged: u32::MAX,
+    };
+    let record = FlowRecord {
+        life: UpstreamLife {
+            id: "i".repeat(64),
+            born_ms: u64::MAX,
+        },
+        flows: vec![flow; MAX_RECORDED_FLOWS],
+    };
+    // The store keeps the value as text within its own JSON.
+    let value = serde_json::to_string(&record).unwrap();
+    let stored = serde_json::to_string(&value).unwrap();
+    expect_that!(stored.len(), le(MAX_VALUE_BYTES));
+}
