Remove the objects of an agent that leaves without a tombstone

Cause: a deletion wrote a tombstone, since the product's own store tells watches of it so; on the users' platform these stay for ever.

Entries of VMs that are lost without a word still stay (docs/CAPACITY.md).

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,7 +8,8 @@
 
 use hawthorntide_opaque::Peer;
 use hawthorntide_store::{
-    Collection, Freshness, ListPage, ObjectKey, ObjectKind, ObjectStore, StoredObject, WriteOutcome,
+    Collection, Freshness, ListPage, ObjectKey, ObjectKind, ObjectStore, Removal, StoredObject,
+    WriteOutcome,
 };
 use hawthorntide_types::{Incarnation, Version};
 use tokio::time::sleep;
@@ -149,8 +150,13 @@
             return;
         }
     };
-    let outcome = store.delete_if(key, object.version).await;
-    log::info!(key:% = key, code:% = outcome.code(); "relay: Object removed.");
+    match store.remove_if(key, object.version).await {
+        Ok(Removal::Gone) => log::info!(key:% = key; "relay: Object removed."),
+        Ok(Removal::Changed) => {
+            log::warn!(key:% = key; "relay: Object kept, since it changed meanwhile.");
+        }
+        Err(error) => log::warn!(key:% = key; "relay: Object not removed: {error}."),
+    }
 }
 
 fn objects(page: ListPage) -> Vec<StoredObject> {
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -35,6 +35,8 @@
     Post,
     /// Replaces.
     Put,
+    /// Removes.
+    Delete,
 }
 
 /// One call.
@@ -107,6 +109,9 @@
     /// Returns the call that writes an object that has the version `expected`.
     fn write(&self, key: &ObjectKey, value: String, expected: Version) -> StoreRequest;
 
+    /// Returns the call that removes an object that has the version `expected`, if the store can.
+    fn remove(&self, key: &ObjectKey, expected: Version) -> Option<StoreRequest>;
+
     /// Reads the answer to `list`.
     fn list_answer(&self, collection: Collection, body: &[u8]) -> Result<ListPage, StoreError>;
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,4 +16,4 @@
     ConflictBody, ListBody, ObjectApi, ObjectBody, PutBody, REVISION_GONE_STATUS, VersionBody,
     WatchBody, list_path, object_path, watch_path,
 };
-pub use write::WriteOutcome;
+pub use write::{Removal, WriteOutcome};
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Every deletion leaves a tombstone, so that watches tell of it.
+    fn remove(&self, _: &ObjectKey, _: Version) -> Option<StoreRequest> {
+        None
+    }
+
     fn list_answer(&self, _: Collection, body: &[u8]) -> Result<ListPage, StoreError> {
         let body: ListBody = parse(body)?;
         Ok(ListPage {
--- a/crates/store/src/write.rs
+++ b/crates/store/src/write.rs
@@ -34,3 +34,12 @@
         }
     }
 }
+
+/// What became of an object that was to be removed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Removal {
+    /// The store does not have it any more.
+    Gone,
+    /// It has another version and stays.
+    Changed,
+}
