Split removal out of the store client, state the free load once

Found on reading the change again. FREE_LOAD in view.rs and CALM_LOAD in peer.rs were one figure written twice, and the highest level of load had no name.

Behaviour as before; tests unchanged.

--- a/crates/opaque/src/peer.rs
+++ b/crates/opaque/src/peer.rs
@@ -32,17 +32,19 @@
     }
 }
 
-/// Load below which differences change no placement, in thousandths.
-const CALM_LOAD: u16 = 600;
+/// Load up to which an upstream takes every new flow that falls to it, in thousandths: above it,
+/// waiting grows faster than load.
+pub(crate) const FREE_LOAD: u16 = 600;
 
 /// Width of a level of load, in thousandths: a third of the way from a free upstream to a full one.
 const LOAD_LEVEL: u16 = 300;
 
+/// Highest level: an upstream that is more than full.
+const MAX_LOAD_LEVEL: u16 = 4;
+
 fn load_level(load: PerMille) -> u16 {
-    load.get()
-        .saturating_sub(CALM_LOAD)
-        .div_ceil(LOAD_LEVEL)
-        .min(4)
+    let excess = load.get().saturating_sub(FREE_LOAD);
+    excess.div_ceil(LOAD_LEVEL).min(MAX_LOAD_LEVEL)
 }
 
 impl PeerRole {
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -6,7 +6,7 @@
 use hawthorntide_types::{DurationMs, Phase, ServiceName, TimeMs};
 
 use crate::message::Search;
-use crate::peer::{AgentStatus, Peer};
+use crate::peer::{AgentStatus, FREE_LOAD, Peer};
 use crate::placement::{DomainTag, rank};
 use crate::segment::Segment;
 
@@ -359,10 +359,6 @@
     }
 }
 
-/// Load up to which an upstream takes every new flow that falls to it, in thousandths: above it,
-/// waiting grows faster than load.
-const FREE_LOAD: u64 = 600;
-
 /// Load from which an upstream takes the least part of new flows.
 const FULL_LOAD: u64 = 1_500;
 
@@ -375,7 +371,8 @@
         return 0;
     }
     let weight = u64::from(status.weight.get());
-    let load = u64::from(status.load.get()).clamp(FREE_LOAD, FULL_LOAD);
-    let room = 1_000 - (load - FREE_LOAD) * 1_000 / (FULL_LOAD - FREE_LOAD);
+    let free_load = u64::from(FREE_LOAD);
+    let load = u64::from(status.load.get()).clamp(free_load, FULL_LOAD);
+    let room = 1_000 - (load - free_load) * 1_000 / (FULL_LOAD - free_load);
     room.max(LEAST_SHARE) * weight / 1_000
 }
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -38,13 +38,11 @@
         let mut written = None;
         loop {
             sleep(interval_ms().into()).await;
-            let record = record();
-            if record.is_none() || record == written {
+            let Some(record) = record() else {
                 continue;
-            }
-            if let Some(accepted) = self.write(record.as_ref(), &mut version).await {
-                version = accepted;
-                written = record;
+            };
+            if written.as_ref() != Some(&record) && self.write(&record, &mut version).await {
+                written = Some(record);
             }
         }
     }
@@ -63,26 +61,29 @@
         }
     }
 
-    /// Writes on top of `version`, which follows the object when it is another one.
-    async fn write(&self, record: Option<&FlowRecord>, version: &mut Version) -> Option<Version> {
-        let value = match serde_json::to_value(record?) {
+    /// Writes on top of `version`, which follows that of the object; returns whether it is written.
+    async fn write(&self, record: &FlowRecord, version: &mut Version) -> bool {
+        let value = match serde_json::to_value(record) {
             Ok(value) => value,
             Err(error) => {
                 log::error!(key:% = self.key; "relay: Flow record not encoded: {error}.");
-                return None;
+                return false;
             }
         };
         let outcome = self.store.put_if(&self.key, &value, *version).await;
-        match outcome {
-            WriteOutcome::Accepted(accepted) => return Some(accepted),
+        match &outcome {
+            WriteOutcome::Accepted(accepted) => {
+                *version = *accepted;
+                return true;
+            }
             // A write of this or the process before, whose answer was lost, took effect.
-            WriteOutcome::Conflict { ref theirs } => {
+            WriteOutcome::Conflict { theirs } => {
                 *version = theirs.as_ref().map_or(Version::NONE, |it| it.version);
             }
             WriteOutcome::NotAccepted | WriteOutcome::Open { .. } => {}
         }
         log::warn!(key:% = self.key, code:% = outcome.code(); "relay: Flow record not written.");
-        None
+        false
     }
 }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,5 +1,7 @@
 //! Calls of the platform store with deadlines and retries.
 
+mod removal;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -16,7 +18,7 @@
 };
 use crate::object::{Listing, MAX_VALUE_BYTES, ObjectKey, StoredObject, Watched, WriteId};
 use crate::protocol::{ObjectApi, ObjectBody, REVISION_GONE_STATUS, open, seal};
-use crate::write::{Removal, WriteOutcome};
+use crate::write::WriteOutcome;
 
 /// Time that a watch may take beyond its wait.
 const WATCH_MARGIN_MS: u64 = 1000;
@@ -229,53 +231,6 @@
         self.write(key, None, expected, write_id).await
     }
 
-    /// Removes the object if it still has the version `expected`, without a tombstone where the store
-    /// can: for objects whose end nobody watches for.
-    pub async fn remove_if(
-        &self,
-        key: &ObjectKey,
-        expected: Version,
-    ) -> Result<Removal, StoreError> {
-        let Some(call) = self.dialect.remove(key, expected) else {
-            return match self.delete_if(key, expected).await {
-                WriteOutcome::Accepted(_) => Ok(Removal::Gone),
-                WriteOutcome::Conflict { .. } => Ok(Removal::Changed),
-                WriteOutcome::NotAccepted | WriteOutcome::Open { .. } => {
-                    Err(StoreError::Unavailable)
-                }
-            };
-        };
-        let deadline = self.deadline();
-        self.budget().earn();
-        for attempt in 0.. {
-            match self.remove_once(&call, deadline).await {
-                Ok(removal) => return Ok(removal),
-                Err(Attempt::Final(error)) => return Err(error),
-                // A removal that is carried out twice finds no object the second time.
-                Err(error) if !self.may_retry(attempt, deadline).await => {
-                    return Err(error.error());
-                }
-                Err(_) => {}
-            }
-        }
-        Err(StoreError::Unavailable)
-    }
-
-    async fn remove_once(
-        &self,
-        call: &StoreRequest,
-        deadline: Instant,
-    ) -> Result<Removal, Attempt> {
-        let deadline = self.attempt_deadline(deadline);
-        let response = send_any(self.request(call), deadline).await?;
-        match response.status() {
-            status if status.is_success() => Ok(Removal::Gone),
-            StatusCode::NOT_FOUND => Ok(Removal::Gone),
-            StatusCode::CONFLICT => Ok(Removal::Changed),
-            status => Err(failure(status)),
-        }
-    }
-
     /// Asks again for the outcome of a write on top of `expected` that stayed open.
     ///
     /// An object that still has the version `expected` leaves the write open: the store may get it yet.
