Schedule the requests of opaque flows at the agent

Cause: an upstream works on its slots and queues what exceeds them, first come, first served. In a flood its 28 places add some 200 ms to every request, so all of them miss their objective alike, and what exceeds the queue is shed and comes back at once.

Hypothesis: if the agent delivers only as many requests as the upstream has slots for, and starts the urgent and the timely ones first, as many are answered within their objective as the slots can serve.

Change: a scheduler in crates/admission (queue, shares and service times of the existing admission machine) and held packets in crates/opaque. Balancers pass the class of a route (kind, urgency, objective, deadline) on in the header fields that callers and upstreams do not read, so that the messages between processes stay as they are. A request starts with data on a flow that owes no answer; retransmissions of held requests are dropped, those of started ones pass. The caller's data is tracked by sequence number: a retransmission after the answer marked a flow as busy for up to 10 s, and raised the published load (test a_retransmission_of_an_answered_request_is_no_request).

Tests changed: the upstream of the test fleet acknowledges what it received; a flow may be held at its agent (Outcome::Held); the request that loads a stuck upstream is a new one, since a retransmission no longer counts.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -12,6 +12,7 @@
 mod service_time;
 mod shares;
 mod sibling;
+mod slot_scheduler;
 mod window;
 
 pub use health::{AnnouncedWeight, CallResult, HealthHint, UpstreamHealth};
@@ -21,3 +22,4 @@
 };
 pub use retry::{DEFAULT_RETRY_BUDGET, RetryAttempt, RetryBudget};
 pub use sibling::{EndpointLoad, FlowDecision, SiblingSelector};
+pub use slot_scheduler::{SlotAction, SlotEvent, SlotRequest, SlotScheduler};
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -78,6 +78,15 @@
         Some(request)
     }
 
+    /// Removes the request with this identifier, if it is queued. Takes time linear in the length.
+    pub(crate) fn remove_request(&mut self, id: RequestId) {
+        let mut requests = self.requests.iter();
+        let found = requests.find(|(_, request)| request.id == id);
+        if let Some((&ticket, _)) = found {
+            self.remove(ticket);
+        }
+    }
+
     /// Removes one request whose latest start time has passed.
     pub(crate) fn pop_expired(&mut self, now: TimeMs) -> Option<QueuedRequest> {
         let (latest_start, ticket) = *self.by_latest_start.first()?;
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -1,10 +1,9 @@
 //! Weighted fair sharing of the slots: the share of a kind of work is its guaranteed minimum.
 
-use hawthorntide_types::{PerMille, TimeMs, WorkKind};
+use hawthorntide_types::{DurationMs, PerMille, TimeMs, WorkKind};
 
-/// Limit of the credit and the debt of a kind, in milliseconds per slot. It bounds how long a kind
-/// that was below its share takes precedence, and how long an earlier excess counts against it.
-const CREDIT_LIMIT_MS: i64 = 1000;
+/// Default limit of the credit and the debt of a kind, per slot.
+const DEFAULT_CREDIT_LIMIT_MS: DurationMs = DurationMs(1000);
 /// Share that covers all slots.
 const FULL_SHARE_PER_MILLE: i64 = 1000;
 
@@ -18,13 +17,30 @@
 
 /// Credit of each kind: the slot time that its share entitles it to less the slot time that it
 /// used, in thousandths of a slot-millisecond.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct FairShares {
     credit: [i64; WorkKind::ALL.len()],
+    /// Limit of the credit and the debt of a kind, per slot. It bounds how long a kind that was below
+    /// its share takes precedence, and how long an earlier excess counts against it.
+    credit_limit_ms: DurationMs,
     updated: TimeMs,
 }
 
+impl Default for FairShares {
+    fn default() -> Self {
+        Self::with_credit_limit(DEFAULT_CREDIT_LIMIT_MS)
+    }
+}
+
 impl FairShares {
+    pub(crate) fn with_credit_limit(credit_limit_ms: DurationMs) -> Self {
+        Self {
+            credit: Default::default(),
+            credit_limit_ms,
+            updated: TimeMs::default(),
+        }
+    }
+
     /// Updates the credits for the time since the last call, during which `usage` applied.
     pub(crate) fn advance(
         &mut self,
@@ -32,12 +48,13 @@
         slots: u32,
         usage: [KindUsage; WorkKind::ALL.len()],
     ) {
-        let elapsed_ms = now.since(self.updated).get().min(CREDIT_LIMIT_MS as u64) as i64;
+        let credit_limit_ms = self.credit_limit_ms.get() as i64;
+        let elapsed_ms = now.since(self.updated).min(self.credit_limit_ms).get() as i64;
         if elapsed_ms == 0 {
             return;
         }
         self.updated = now;
-        let limit = i64::from(slots) * CREDIT_LIMIT_MS * FULL_SHARE_PER_MILLE;
+        let limit = i64::from(slots) * credit_limit_ms * FULL_SHARE_PER_MILLE;
         let waiting_kinds = usage.iter().filter(|kind| kind.is_waiting).count();
         for (credit, kind) in self.credit.iter_mut().zip(usage) {
             let share = i64::from(kind.share_per_mille.get()) * i64::from(slots);
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -9,13 +9,14 @@
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, PerMille, Phase, ResultCode, ServiceName, TimeMs};
 
-use crate::flow_table::{FlowChange, FlowTable};
+use crate::flow_table::{CallerPacket, FlowChange, FlowTable};
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
 use crate::placement::DomainTag;
 use crate::record::{FlowRecord, PreviousRecord, record_interval_ms};
+use crate::requests::{HeldPacket, RequestChange, Requests};
 use crate::segment::{Segment, SegmentKind};
 use crate::upstream::{ReportKind, UpstreamHealth, UpstreamReport};
 use crate::view::AgentQuery;
@@ -57,8 +58,9 @@
     Forwarded {
         search: Search,
         segment: Segment,
-        /// Bytes of an opening packet; they are kept until the upstream answers it.
-        opening: &'a [u8],
+        /// Bytes of the packet. The state machine keeps those of opening packets until the upstream
+        /// answers, and those of requests until they get a slot.
+        packet: &'a [u8],
     },
     /// Packet that the upstream sends to a caller.
     Sent(Segment),
@@ -72,6 +74,8 @@
     Report(UpstreamReport),
     /// The upstream with this name deregistered, or the agent itself is stopping (`None`).
     Deregistered(Option<String>),
+    /// The process is about to exit while its upstream keeps running.
+    Stopping,
     /// The directory contains the entry of the agent.
     Registered {
         /// The entry existed before the agent started.
@@ -79,7 +83,7 @@
     },
     /// The flow record of the previous incarnation was read, if there is one.
     RecordRead(Option<FlowRecord>),
-    /// Checks deadlines. Needed at short intervals while `awaits_answers` returns true.
+    /// Checks deadlines. Needed at short intervals while `needs_ticks` returns true.
     Tick,
     /// Samples the load, once per gossip round.
     Measure,
@@ -99,18 +103,30 @@
         /// Token that is returned with the packet if the upstream does not accept it.
         token: u32,
     },
+    /// Delivers a packet of a request that waited for a slot.
+    DeliverHeld {
+        token: u32,
+        segment: Segment,
+        packet: Vec<u8>,
+        waited_ms: DurationMs,
+    },
+    /// A request was given up before it was delivered: its caller no longer waits for an answer, or
+    /// too many requests wait.
+    RequestDiscarded {
+        flow: FlowKey,
+    },
     /// Sends the packet of the upstream to the caller.
     Reply,
     ForwardToAgent {
         to: SocketAddr,
         search: Search,
-        /// Opening packet that timed out; `None` for the packet of the event.
+        /// Packet that the agent kept; `None` for the packet of the event.
         packet: Option<Vec<u8>>,
     },
     /// Returns the packet to its balancer: no known agent is left to try.
     ReturnToBalancer {
         search: Search,
-        /// Opening packet that timed out; `None` for the packet of the event.
+        /// Packet that the agent kept; `None` for the packet of the event.
         packet: Option<Vec<u8>>,
     },
     /// Announces to the balancer `to` that this agent owns `flow`.
@@ -148,6 +164,7 @@
     gossip: GossipMachine,
     service: ServiceName,
     flows: FlowTable,
+    requests: Requests,
     pending: PendingPackets,
     phase: Phase,
     started_at: TimeMs,
@@ -167,6 +184,7 @@
             gossip: GossipMachine::new(options.local_peer, options.seed),
             service: options.service,
             flows: FlowTable::new(options.flow_idle_ms),
+            requests: Requests::new(),
             pending: PendingPackets::new(options.seed as u32),
             phase: Phase::Joining,
             started_at: now,
@@ -205,9 +223,22 @@
         record_interval_ms(self.gossip.view().reachable_agents(now))
     }
 
-    /// Returns whether an answer of the upstream is pending, so that `Tick` events are needed.
-    pub fn awaits_answers(&self) -> bool {
-        self.pending.has_openings() || self.upstream.is_answer_expected()
+    /// Returns the number of requests that wait for a slot of the upstream.
+    pub fn waiting_requests(&self) -> usize {
+        self.requests.waiting()
+    }
+
+    /// Returns whether the agent holds the request of `flow` until the upstream has a slot.
+    pub fn is_request_waiting(&self, flow: &FlowKey) -> bool {
+        self.requests.is_waiting(flow)
+    }
+
+    /// Returns whether an answer of the upstream is pending or a request waits, so that `Tick` events
+    /// are needed.
+    pub fn needs_ticks(&self) -> bool {
+        self.pending.has_openings()
+            || self.upstream.is_answer_expected()
+            || self.requests.waiting() > 0
     }
 
     pub const fn phase(&self) -> Phase {
@@ -219,11 +250,16 @@
             AgentEvent::Forwarded {
                 search,
                 segment,
-                opening,
-            } => self.handle_forwarded(now, search, &segment, opening, out),
+                packet,
+            } => self.handle_forwarded(now, search, &segment, packet, out),
             AgentEvent::Sent(segment) => self.handle_upstream_packet(now, &segment, out),
             AgentEvent::Returned { segment, token } => self.reroute(now, &segment, token, out),
             AgentEvent::Report(report) => self.handle_heartbeat(now, report, out),
+            AgentEvent::Stopping => {
+                for held in self.requests.take_all() {
+                    self.deliver_held(now, held, DurationMs(0), out);
+                }
+            }
             AgentEvent::Deregistered(id) => self.handle_deregistered(now, id.as_deref(), out),
             AgentEvent::Registered { was_known } => {
                 self.registered_at = Some(if was_known { now - JOINING_MS } else { now });
@@ -249,7 +285,7 @@
         now: TimeMs,
         search: Search,
         segment: &Segment,
-        opening: &[u8],
+        packet: &[u8],
         out: &mut Vec<AgentAction>,
     ) {
         if segment.kind == SegmentKind::Accepting {
@@ -261,16 +297,9 @@
             return;
         }
         if self.flows.contains(&segment.flow) {
-            if self.flows.owns(now, segment) {
-                if !search.visited.is_empty() && !segment.is_opening() {
-                    out.push(AgentAction::AnnounceOwner {
-                        to: search.balancer,
-                        flow: segment.flow,
-                    });
-                }
-                self.deliver(now, search, segment, None, out);
-            } else {
-                self.forward_to_next(now, search, segment, None, out);
+            match self.flows.handle_caller_packet(now, segment) {
+                Some(kind) => self.handle_owned(now, search, segment, kind, packet, out),
+                None => self.forward_to_next(now, search, segment, None, out),
             }
             return;
         }
@@ -280,12 +309,91 @@
         }
         let is_eligible = self.accepts_new_flows() && search.service == self.service;
         if is_eligible && !self.should_hand_off(now, &search, segment) {
-            self.deliver(now, search, segment, Some(opening), out);
+            self.deliver(now, search, segment, Some(packet), out);
         } else {
             self.forward_to_next(now, search, segment, None, out);
         }
     }
 
+    /// Handles a packet of a flow that the upstream owns. Packets of a request are held until it has
+    /// a slot; all others are delivered at once.
+    fn handle_owned(
+        &mut self,
+        now: TimeMs,
+        search: Search,
+        segment: &Segment,
+        kind: CallerPacket,
+        packet: &[u8],
+        out: &mut Vec<AgentAction>,
+    ) {
+        if !search.visited.is_empty() && !segment.is_opening() {
+            out.push(AgentAction::AnnounceOwner {
+                to: search.balancer,
+                flow: segment.flow,
+            });
+        }
+        if segment.kind == SegmentKind::Reset {
+            let changes = self.requests.cancel(now, &segment.flow);
+            self.apply_request_changes(now, changes, out);
+        }
+        let held = || HeldPacket {
+            search: search.clone(),
+            segment: *segment,
+            packet: packet.to_vec(),
+        };
+        let has_content = segment.payload_bytes > 0 || segment.is_last;
+        if kind == CallerPacket::NewRequest {
+            let changes = self.requests.add(now, held());
+            self.apply_request_changes(now, changes, out);
+        } else if has_content && self.requests.is_waiting(&segment.flow) {
+            self.requests.hold(held());
+        } else {
+            self.deliver(now, search, segment, None, out);
+        }
+    }
+
+    fn apply_request_changes(
+        &mut self,
+        now: TimeMs,
+        changes: Vec<RequestChange>,
+        out: &mut Vec<AgentAction>,
+    ) {
+        for change in changes {
+            match change {
+                RequestChange::Started { packets, waited_ms } => {
+                    for held in packets {
+                        self.deliver_held(now, held, waited_ms, out);
+                    }
+                }
+                RequestChange::Discarded { flow } => {
+                    self.flows.forget_request(&flow);
+                    out.push(AgentAction::RequestDiscarded { flow });
+                }
+            }
+        }
+    }
+
+    fn deliver_held(
+        &mut self,
+        now: TimeMs,
+        held: HeldPacket,
+        waited_ms: DurationMs,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let HeldPacket {
+            search,
+            segment,
+            packet,
+        } = held;
+        let token = self.record_delivery(now, search, &segment);
+        out.push(AgentAction::DeliverHeld {
+            token,
+            segment,
+            packet,
+            waited_ms,
+        });
+    }
+
     /// Returns whether to hand off a new flow: its request would wait for a slot at this upstream,
     /// and another agent may accept it.
     fn should_hand_off(&self, now: TimeMs, search: &Search, segment: &Segment) -> bool {
@@ -315,15 +423,7 @@
         opening: Option<&[u8]>,
         out: &mut Vec<AgentAction>,
     ) {
-        let pending = PendingPacket {
-            flow: segment.flow,
-            search,
-            is_retransmission: matches!(segment.kind, SegmentKind::Opening { attempt: 1.. }),
-        };
-        let token = self.pending.add(pending);
-        if segment.is_opening() || segment.payload_bytes > 0 || segment.is_last {
-            self.upstream.expect_answer(now);
-        }
+        let token = self.record_delivery(now, search, segment);
         if let Some(packet) = opening {
             self.pending.add_opening(PendingOpening {
                 flow: segment.flow,
@@ -335,6 +435,18 @@
         out.push(AgentAction::Deliver { token });
     }
 
+    /// Records that a packet is delivered to the upstream; returns its token.
+    fn record_delivery(&mut self, now: TimeMs, search: Search, segment: &Segment) -> u32 {
+        if segment.is_opening() || segment.payload_bytes > 0 || segment.is_last {
+            self.upstream.expect_answer(now);
+        }
+        self.pending.add(PendingPacket {
+            flow: segment.flow,
+            search,
+            is_retransmission: matches!(segment.kind, SegmentKind::Opening { attempt: 1.. }),
+        })
+    }
+
     fn handle_upstream_packet(
         &mut self,
         now: TimeMs,
@@ -349,10 +461,24 @@
             Some(FlowChange::Answered { after_ms }) => {
                 self.upstream.record_request(false);
                 out.push(AgentAction::Answered { after_ms });
+                let changes = self.requests.answered(now, &segment.flow);
+                self.apply_request_changes(now, changes, out);
+            }
+            Some(FlowChange::Aborted) => {
+                self.upstream.record_request(true);
+                let changes = self.requests.cancel(now, &segment.flow);
+                self.apply_request_changes(now, changes, out);
             }
-            Some(FlowChange::Aborted) => self.upstream.record_request(true),
             None => {}
         }
+        if segment.is_last {
+            // The upstream refuses further data on the flow, which takes no slot.
+            for held in self.requests.take_waiting(&segment.flow) {
+                self.deliver_held(now, held, DurationMs(0), out);
+            }
+            let changes = self.requests.cancel(now, &segment.flow);
+            self.apply_request_changes(now, changes, out);
+        }
     }
 
     /// Announces an accepted flow to the balancers in the failure domain whose balancer received
@@ -392,6 +518,12 @@
         self.upstream.record_activity();
         if !segment.is_opening() {
             self.flows.remove(&segment.flow);
+            for held in self.requests.take_waiting(&segment.flow) {
+                let packet = Some(held.packet);
+                self.forward_to_next(now, held.search, &held.segment, packet, out);
+            }
+            let changes = self.requests.cancel(now, &segment.flow);
+            self.apply_request_changes(now, changes, out);
         }
         let Some(pending) = self.pending.take(token, &segment.flow) else {
             // Delivered by a previous incarnation of this process, or overwritten by later packets.
@@ -436,6 +568,7 @@
         out: &mut Vec<AgentAction>,
     ) {
         let is_draining = report.is_draining;
+        let slots = report.slots;
         match self.upstream.apply_report(now, report) {
             ReportKind::Stale => return,
             // Sent before the upstream deregistered, received after it.
@@ -443,6 +576,8 @@
             ReportKind::SameIncarnation => {}
             ReportKind::NewIncarnation => self.reset_all_flows(out),
         }
+        let changes = self.requests.set_slots(now, slots);
+        self.apply_request_changes(now, changes, out);
         self.resolve_previous_record(now, out);
         let phase = match self.phase {
             Phase::Joining if !is_draining && !self.is_join_complete(now) => Phase::Joining,
@@ -489,6 +624,7 @@
 
     /// Resets all flows, since they ended with the upstream's incarnation.
     fn reset_all_flows(&mut self, out: &mut Vec<AgentAction>) {
+        self.requests.take_all();
         let flows = self.flows.take_all().into_iter();
         out.extend(flows.map(|(flow, acknowledged)| AgentAction::Reset { flow, acknowledged }));
     }
@@ -515,6 +651,8 @@
             };
             self.forward_to_next(now, pending.search, &segment, Some(opening.packet), out);
         }
+        let changes = self.requests.tick(now);
+        self.apply_request_changes(now, changes, out);
         if self.upstream.should_be_probed(now) {
             out.push(AgentAction::Probe);
         }
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -255,6 +255,7 @@
             service: service.clone(),
             is_fallback_service: Some(service) != selected_service,
             visited: Vec::new(),
+            class: route.class,
         };
         let is_first_attempt = matches!(segment.kind, SegmentKind::Opening { attempt: 0 });
         let may_use_cache = !segment.is_opening() || is_first_attempt;
--- a/crates/opaque/src/flow_table.rs
+++ b/crates/opaque/src/flow_table.rs
@@ -38,6 +38,16 @@
     last_packet: TimeMs,
     /// Arrival of the request that the upstream has not answered yet.
     busy_since: Option<TimeMs>,
+    /// End of the caller's data that arrived so far, if known. Data before it is a retransmission.
+    received_end: Option<u32>,
+}
+
+/// Packet of a caller on a flow that the upstream owns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallerPacket {
+    /// First packet of a request.
+    NewRequest,
+    Other,
 }
 
 /// Change of a flow by a packet of the upstream.
@@ -135,6 +145,7 @@
                 },
                 last_packet: now,
                 busy_since: None,
+                received_end: None,
             };
             self.flows.insert(recorded.flow, flow);
         }
@@ -173,14 +184,16 @@
         }
     }
 
-    /// Returns whether the upstream owns the flow of a caller's packet; if so, records the packet.
+    /// Records the packet of a caller; returns `None` if the upstream does not own its flow.
     ///
     /// Two upstreams may accept transmissions of the same opening packet. The caller acknowledges
     /// only one of them.
-    pub(crate) fn owns(&mut self, now: TimeMs, segment: &Segment) -> bool {
-        let Some(flow) = self.flows.get_mut(&segment.flow) else {
-            return false;
-        };
+    pub(crate) fn handle_caller_packet(
+        &mut self,
+        now: TimeMs,
+        segment: &Segment,
+    ) -> Option<CallerPacket> {
+        let flow = self.flows.get_mut(&segment.flow)?;
         let is_owner = match (segment.kind, flow.state) {
             // A new flow that reuses the addresses of a flow that ended after it was recorded.
             (SegmentKind::Opening { .. }, FlowState::Recorded { .. }) => false,
@@ -194,14 +207,33 @@
                 distance <= SEQUENCE_WINDOW || distance.wrapping_neg() <= SEQUENCE_WINDOW
             }
         };
-        if is_owner {
-            flow.last_packet = now;
-            if segment.payload_bytes > 0 && flow.busy_since.is_none() {
-                flow.busy_since = Some(now);
-                self.busy_flows += 1;
-            }
+        if !is_owner {
+            return None;
+        }
+        flow.last_packet = now;
+        let is_new = |end| is_after(segment.end(), end);
+        if segment.payload_bytes == 0 || !flow.received_end.is_none_or(is_new) {
+            return Some(CallerPacket::Other);
+        }
+        flow.received_end = Some(segment.end());
+        if flow.busy_since.is_some() {
+            return Some(CallerPacket::Other);
+        }
+        flow.busy_since = Some(now);
+        self.busy_flows += 1;
+        Some(CallerPacket::NewRequest)
+    }
+
+    /// Forgets the request of a flow, none of whose packets reached the upstream, so that its
+    /// retransmission counts as a new one.
+    pub(crate) fn forget_request(&mut self, flow: &FlowKey) {
+        let Some(flow) = self.flows.get_mut(flow) else {
+            return;
+        };
+        flow.received_end = None;
+        if flow.busy_since.take().is_some() {
+            self.busy_flows -= 1;
         }
-        is_owner
     }
 
     /// Updates a flow for a packet of the upstream; returns the response time if the packet is the
@@ -209,6 +241,7 @@
     fn update(&mut self, now: TimeMs, segment: &Segment, state: FlowState) -> Option<DurationMs> {
         let known = self.flows.get(&segment.flow);
         let mut busy_since = known.and_then(|flow| flow.busy_since);
+        let received_end = known.and_then(|flow| flow.received_end);
         let mut waited = None;
         if segment.payload_bytes > 0
             && let Some(since) = busy_since.take()
@@ -220,6 +253,8 @@
             state,
             last_packet: now,
             busy_since,
+            // An upstream acknowledges no more than it has received.
+            received_end: received_end.or(Some(segment.acknowledged)),
         };
         self.flows.insert(segment.flow, flow);
         waited
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod agent;
 mod balancer;
+mod class;
 mod flow_table;
 mod gossip;
 mod message;
@@ -14,6 +15,7 @@
 mod pending;
 mod placement;
 mod record;
+mod requests;
 mod route;
 mod segment;
 mod upstream;
@@ -21,6 +23,7 @@
 
 pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions};
 pub use balancer::{BalancerDecision, BalancerMachine, ConfigurationTask};
+pub use class::RequestClass;
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{
     Gossip, MessageError, PeerMessage, PeerUpdate, ReplyKind, Search, decode, encode,
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::class::RequestClass;
 use crate::peer::Peer;
 use crate::placement::DomainTag;
 
@@ -25,6 +26,9 @@
     pub is_fallback_service: bool,
     /// Agents that the packet has visited and that did not accept it.
     pub visited: Vec<SocketAddr>,
+    /// Class of the route. Not part of the encoded message: it travels in the header of the packet.
+    #[serde(skip)]
+    pub class: RequestClass,
 }
 
 /// Message between processes; `Forward` and `Exhausted` are followed by the packet.
--- a/crates/opaque/src/route.rs
+++ b/crates/opaque/src/route.rs
@@ -6,6 +6,8 @@
 use hawthorntide_types::{DurationMs, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::class::RequestClass;
+
 /// Service of a route, with its share of the flows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Backend {
@@ -20,6 +22,9 @@
     /// Address and port that callers use.
     pub service_address: SocketAddr,
     pub backends: Vec<Backend>,
+    /// Absent in configurations of earlier builds.
+    #[serde(default)]
+    pub class: RequestClass,
 }
 
 /// Versioned set of routes.
--- a/crates/opaque/tests/routes.rs
+++ b/crates/opaque/tests/routes.rs
@@ -4,7 +4,7 @@
 
 use common::{Fleet, Outcome, configuration, flow, opening, service, service_address};
 use googletest::prelude::*;
-use hawthorntide_opaque::{Backend, Configuration, Route, RouteTable};
+use hawthorntide_opaque::{Backend, Configuration, RequestClass, Route, RouteTable};
 use hawthorntide_types::{DurationMs, ResultCode, Version};
 
 // A configuration must not be replaced by an earlier version.
@@ -62,6 +62,7 @@
     let route = Route {
         service_address: service_address(0),
         backends: vec![backend(0, 90), backend(1, 10)],
+        class: RequestClass::default(),
     };
     let taken = (0..10_000).filter(|caller| {
         let key = flow(*caller, 0);
@@ -78,6 +79,7 @@
         .map(|number| Route {
             service_address: service_address(number),
             backends: Vec::new(),
+            class: RequestClass::default(),
         })
         .collect();
     routes.reverse();
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -11,7 +11,8 @@
 };
 use hawthorntide_platform::{
     HEADER_BYTES, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, UpstreamPacket,
-    encode_reset, mark_for_upstream, parse_caller_packet, parse_upstream_packet, request_id,
+    encode_reset, mark_for_upstream, parse_caller_packet, parse_upstream_packet, request_class,
+    request_id, set_request_class,
 };
 use hawthorntide_store::{ObjectKind, ObjectStore};
 use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
@@ -85,8 +86,8 @@
     service: ServiceName,
     upstream_address: SocketAddr,
     caller_port: u16,
-    /// A packet was delivered, so that deadlines need to be checked.
-    packet_delivered: Notify,
+    /// Deadlines need to be checked.
+    ticks_needed: Notify,
     /// The state machine requested a probe of the upstream.
     probe_requested: Notify,
     metrics: AgentMetrics,
@@ -121,7 +122,7 @@
             service: options.service.clone(),
             upstream_address: options.upstream_address,
             caller_port: options.caller_port,
-            packet_delivered: Notify::new(),
+            ticks_needed: Notify::new(),
             probe_requested: Notify::new(),
             metrics: AgentMetrics::new(),
         });
@@ -179,6 +180,7 @@
         let phase = self.shared.machine().phase();
         let held_flows = self.shared.machine().held_flows();
         log::info!(phase:% = phase, held_flows; "relay: Agent stops.");
+        self.shared.handle(AgentEvent::Stopping, &mut [], None);
         if !matches!(phase, Phase::Draining | Phase::Gone) {
             return;
         }
@@ -209,7 +211,19 @@
     /// Passes the event to the state machine and performs the resulting actions.
     fn handle(&self, event: AgentEvent<'_>, packet: &mut [u8], segment: Option<&Segment>) {
         let mut actions = Vec::new();
-        self.machine().handle(self.clock.now(), event, &mut actions);
+        self.update_machine(event, &mut actions);
+        self.perform_all(actions, packet, segment);
+    }
+
+    fn update_machine(&self, event: AgentEvent<'_>, actions: &mut Vec<AgentAction>) {
+        let mut machine = self.machine();
+        machine.handle(self.clock.now(), event, actions);
+        if machine.needs_ticks() {
+            self.ticks_needed.notify_one();
+        }
+    }
+
+    fn perform_all(&self, actions: Vec<AgentAction>, packet: &mut [u8], segment: Option<&Segment>) {
         for action in actions {
             self.perform(action, packet, segment);
         }
@@ -220,11 +234,20 @@
         let buffer = &mut *buffer;
         match action {
             AgentAction::Deliver { token } => {
-                self.metrics.delivered.increment(1);
-                log_request(segment, packet);
-                mark_for_upstream(packet, token);
-                send(&self.output, packet, self.upstream_address);
-                self.packet_delivered.notify_one();
+                self.deliver(token, segment, packet, DurationMs(0));
+            }
+            AgentAction::DeliverHeld {
+                token,
+                segment,
+                packet: mut held,
+                waited_ms,
+            } => {
+                self.metrics.record_wait(waited_ms);
+                self.deliver(token, Some(&segment), &mut held, waited_ms);
+            }
+            AgentAction::RequestDiscarded { flow } => {
+                self.metrics.discarded.increment(1);
+                log::info!(flow:% = flow; "relay: Waiting request discarded.");
             }
             AgentAction::Reply => {
                 let Some(segment) = segment else { return };
@@ -235,21 +258,23 @@
             AgentAction::ForwardToAgent {
                 to,
                 search,
-                packet: pending_packet,
+                packet: mut pending_packet,
             } => {
                 self.metrics.forwarded.increment(1);
                 log_forwarded(segment, &search.visited, to);
-                let packet = pending_packet.as_deref().unwrap_or(packet);
+                let packet = pending_packet.as_deref_mut().unwrap_or(packet);
+                set_request_class(packet, search.class);
                 let message = PeerMessage::Forward(search);
                 send_message(&self.peers, to, &message, packet, buffer);
             }
             AgentAction::ReturnToBalancer {
                 search,
-                packet: pending_packet,
+                packet: mut pending_packet,
             } => {
                 let to = search.balancer;
                 log_forwarded(segment, &search.visited, to);
-                let packet = pending_packet.as_deref().unwrap_or(packet);
+                let packet = pending_packet.as_deref_mut().unwrap_or(packet);
+                set_request_class(packet, search.class);
                 let message = PeerMessage::Exhausted(search);
                 send_message(&self.peers, to, &message, packet, buffer);
             }
@@ -289,6 +314,20 @@
         }
     }
 
+    /// Delivers a packet to the upstream.
+    fn deliver(
+        &self,
+        token: u32,
+        segment: Option<&Segment>,
+        packet: &mut [u8],
+        waited_ms: DurationMs,
+    ) {
+        self.metrics.delivered.increment(1);
+        log_request(segment, packet, waited_ms);
+        mark_for_upstream(packet, token);
+        send(&self.output, packet, self.upstream_address);
+    }
+
     async fn receive_upstream_packets(self: Arc<Self>) {
         receive(
             &self.output,
@@ -320,7 +359,7 @@
                 let event = GossipEvent::Message { from, gossip };
                 self.handle(AgentEvent::Gossip(event), &mut [], None);
             }
-            Ok((PeerMessage::Forward(search), packet)) => {
+            Ok((PeerMessage::Forward(mut search), packet)) => {
                 let segment = match parse_caller_packet(packet) {
                     Ok(segment) => segment,
                     Err(error) => {
@@ -328,18 +367,16 @@
                         return;
                     }
                 };
-                let start = datagram.len() - packet.len();
-                let opening = if segment.is_opening() {
-                    packet.to_vec()
-                } else {
-                    Vec::new()
-                };
+                search.class = request_class(packet);
+                let mut actions = Vec::new();
                 let event = AgentEvent::Forwarded {
                     search,
                     segment,
-                    opening: &opening,
+                    packet,
                 };
-                self.handle(event, &mut datagram[start..], Some(&segment));
+                self.update_machine(event, &mut actions);
+                let start = datagram.len() - packet.len();
+                self.perform_all(actions, &mut datagram[start..], Some(&segment));
             }
             Ok((PeerMessage::Exhausted(_) | PeerMessage::FlowOwner { .. }, _)) => {
                 log::warn!("relay: Message from {from} dropped: it is meant for a balancer.");
@@ -355,15 +392,17 @@
             self.handle(AgentEvent::Measure, &mut [], None);
             let held_flows = self.machine().held_flows();
             self.metrics.held_flows.set(held_flows as f64);
+            let waiting = self.machine().waiting_requests();
+            self.metrics.waiting_requests.set(waiting as f64);
             self.handle(AgentEvent::Gossip(GossipEvent::Round), &mut [], None);
         }
     }
 
-    /// Checks deadlines while an answer of the upstream is awaited.
+    /// Checks deadlines while the state machine needs it.
     async fn check_deadlines(self: Arc<Self>) {
         loop {
-            self.packet_delivered.notified().await;
-            while self.machine().awaits_answers() {
+            self.ticks_needed.notified().await;
+            while self.machine().needs_ticks() {
                 sleep(DEADLINE_CHECK_INTERVAL).await;
                 self.handle(AgentEvent::Tick, &mut [], None);
             }
@@ -395,13 +434,20 @@
     }
 }
 
-/// Logs the identifier of a request together with the flow that carries it.
-fn log_request(segment: Option<&Segment>, packet: &[u8]) {
+/// Logs the identifier of a request together with the flow that carries it, and how long it waited
+/// for a slot.
+fn log_request(segment: Option<&Segment>, packet: &[u8], waited_ms: DurationMs) {
     let Some(segment) = segment.filter(|segment| segment.payload_bytes > 0) else {
         return;
     };
     if let Some(request) = packet.get(HEADER_BYTES..).and_then(request_id) {
-        log::info!(target: REQUEST_LOG, flow:% = segment.flow, request; "relay: Request delivered.");
+        log::info!(
+            target: REQUEST_LOG,
+            flow:% = segment.flow,
+            request,
+            waited_ms:% = waited_ms;
+            "relay: Request delivered."
+        );
     }
 }
 
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -12,7 +12,7 @@
 };
 use hawthorntide_platform::{
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
-    parse_caller_packet,
+    parse_caller_packet, request_class, set_request_class,
 };
 use hawthorntide_types::{DurationMs, ResultCode, TimeMs};
 use tokio::net::UdpSocket;
@@ -161,7 +161,7 @@
         .await;
     }
 
-    fn handle_packet(&self, packet: &[u8]) {
+    fn handle_packet(&self, packet: &mut [u8]) {
         let now = self.clock.now();
         self.last_packet_ms.store(now.get(), Ordering::Relaxed);
         let segment = match parse_caller_packet(packet) {
@@ -175,7 +175,7 @@
         self.execute(packet, &segment, decision);
     }
 
-    fn execute(&self, packet: &[u8], segment: &Segment, decision: BalancerDecision) {
+    fn execute(&self, packet: &mut [u8], segment: &Segment, decision: BalancerDecision) {
         match decision {
             BalancerDecision::Forward { to, search } => {
                 self.metrics.forwarded.increment(1);
@@ -190,6 +190,7 @@
                         "relay: Opening packet placed."
                     );
                 }
+                set_request_class(packet, search.class);
                 let message = PeerMessage::Forward(search);
                 send_message(&self.peers, to, &message, packet, &mut self.buffer());
             }
@@ -229,7 +230,7 @@
         .await;
     }
 
-    fn handle_message(&self, datagram: &[u8], from: SocketAddr) {
+    fn handle_message(&self, datagram: &mut [u8], from: SocketAddr) {
         let now = self.clock.now();
         match decode(datagram) {
             Ok((PeerMessage::Gossip(gossip), _)) => {
@@ -244,11 +245,14 @@
                     .located_flows
                     .set(machine.cached_flows() as f64);
             }
-            Ok((PeerMessage::Exhausted(search), packet)) => {
+            Ok((PeerMessage::Exhausted(mut search), packet)) => {
                 let Ok(segment) = parse_caller_packet(packet) else {
                     log::warn!("relay: Malformed packet returned by {from} dropped.");
                     return;
                 };
+                let start = datagram.len() - packet.len();
+                let packet = &mut datagram[start..];
+                search.class = request_class(packet);
                 let decision = self
                     .machine()
                     .handle_exhausted_search(now, search, &segment);
--- a/crates/relay/src/metric.rs
+++ b/crates/relay/src/metric.rs
@@ -17,6 +17,9 @@
     pub(crate) forwarded: Counter,
     pub(crate) ended: Counter,
     pub(crate) held_flows: Gauge,
+    pub(crate) waiting_requests: Gauge,
+    pub(crate) discarded: Counter,
+    wait: Histogram,
     accept: Histogram,
     answer: Histogram,
 }
@@ -41,6 +44,9 @@
             forwarded: counter!("hawthorntide_relay_passed_on_total"),
             ended: counter!("hawthorntide_relay_ended_flows_total"),
             held_flows: gauge!("hawthorntide_relay_held_flows"),
+            waiting_requests: gauge!("hawthorntide_relay_waiting_requests"),
+            discarded: counter!("hawthorntide_relay_discarded_requests_total"),
+            wait: histogram!("hawthorntide_relay_wait_ms"),
             accept: histogram!("hawthorntide_relay_accept_ms"),
             answer: histogram!("hawthorntide_relay_answer_ms"),
         }
@@ -51,7 +57,12 @@
         self.accept.record(after_ms.get() as f64);
     }
 
-    /// Records the time from the delivery of a request to the first packet of its answer.
+    /// Records how long a request waited for a slot of the upstream.
+    pub(crate) fn record_wait(&self, waited_ms: DurationMs) {
+        self.wait.record(waited_ms.get() as f64);
+    }
+
+    /// Records the time from the arrival of a request to the first packet of its answer.
     pub(crate) fn record_answer_time(&self, after_ms: DurationMs) {
         self.answer.record(after_ms.get() as f64);
     }
