Report not ready while a balancer is cut off

Cause: an entry VM that is cut off from all others found them unreachable one by one, 2 s and more after the cut, and said that it was ready until the last agent had gone. Callers of its failure domain lost their packets meanwhile.

Change: a process that hears from less than a sixth of the peers from which it should hear within a second counts itself as cut off. A balancer then reports not ready, and neither role takes others for dead, since it knows nothing about them.

Test changed: a_partitioned_balancer_resets_no_flow expected the packet to be dropped for want of agents; the balancer now sends it, and the partition loses it. Dropping is tested with a balancer that still reaches some agents.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -98,10 +98,12 @@
         &self.routes
     }
 
-    /// Returns whether the balancer has routes, the directory and a reachable agent.
+    /// Returns whether the balancer has routes, the directory and a reachable agent, and is not cut
+    /// off, so that callers are served better here than by another balancer.
     pub fn is_ready(&self, now: TimeMs) -> bool {
         let has_routes = self.routes.configuration().is_some();
-        has_routes && self.is_directory_read && self.gossip.view().reachable_agents(now) > 0
+        let has_agents = self.gossip.view().reachable_agents(now) > 0;
+        has_routes && self.is_directory_read && has_agents && !self.gossip.is_isolated()
     }
 
     pub fn handle_gossip(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<GossipAction>) {
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -34,6 +34,34 @@
 /// Balancers that are notified of a local state change at once; the others get it by gossip.
 const MAX_NOTIFIED_BALANCERS: usize = 64;
 
+/// Time over which a process counts the peers that sent it a message. In it, a process normally gets
+/// answers to twelve probes and as many probes of others.
+const CONTACT_WINDOW_MS: DurationMs = DurationMs(1_000);
+
+/// Peers from which a process of a large deployment hears within `CONTACT_WINDOW_MS` at least.
+const EXPECTED_CONTACTS: usize = 18;
+
+/// A process is cut off when it hears from less than this fraction of the expected peers. Not from
+/// none at all: processes that are cut off together may still reach each other.
+const ISOLATED_FRACTION: usize = 6;
+
+/// A process that was cut off has recovered when it hears from this fraction of the expected peers.
+const RECOVERED_FRACTION: usize = 3;
+
+/// Silence of fewer peers than this does not show that the local process is cut off: they may have
+/// terminated.
+const MIN_SILENT_PEERS: usize = 3;
+
+/// Whether the network of the local VM works, judged by the peers that are in contact.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Connectivity {
+    /// The process has not heard from enough peers yet.
+    Starting,
+    Connected,
+    /// Most peers fell silent at once.
+    Isolated,
+}
+
 /// Updates in a message, so that messages stay small when many peers change.
 const MAX_UPDATES: usize = 8;
 
@@ -72,6 +100,8 @@
     PeerChanged(Peer),
     /// A peer left its probes unanswered and no other process reported it alive.
     PeerUnreachable(SocketAddr),
+    /// The local process was cut off from all others, or hears from them again.
+    IsolationChanged { is_isolated: bool },
 }
 
 /// Peer records that a message carries besides that of its sender.
@@ -89,6 +119,7 @@
     local_peer: Peer,
     view: PeerView,
     seeds: Vec<SocketAddr>,
+    connectivity: Connectivity,
     /// Peers that were unreachable in the last round.
     unreachable: Vec<SocketAddr>,
     /// Peers that are probed in the next rounds, last one first.
@@ -108,6 +139,7 @@
             local_peer,
             view,
             seeds: Vec::new(),
+            connectivity: Connectivity::Starting,
             unreachable: Vec::new(),
             probe_queue: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -124,6 +156,12 @@
         &self.local_peer
     }
 
+    /// Returns whether most peers fell silent at once: the fault is then most likely in the network of
+    /// the local VM.
+    pub const fn is_isolated(&self) -> bool {
+        matches!(self.connectivity, Connectivity::Isolated)
+    }
+
     pub fn handle(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<GossipAction>) {
         match event {
             GossipEvent::Round => self.run_round(now, out),
@@ -202,8 +240,14 @@
 
     fn run_round(&mut self, now: TimeMs, out: &mut Vec<GossipAction>) {
         self.increment_heartbeat(now);
+        self.update_connectivity(now, out);
+        let is_isolated = self.is_isolated();
         for entry in self.view.entries_mut() {
             entry.end_round();
+            if is_isolated {
+                // Nothing is known about peers that this process cannot reach.
+                entry.clear_suspicion();
+            }
         }
         self.view.remove_expired(now);
         self.report_unreachable(now, out);
@@ -222,6 +266,33 @@
         }
     }
 
+    fn update_connectivity(&mut self, now: TimeMs, out: &mut Vec<GossipAction>) {
+        let peers = self.view.confirmed_peers(now).saturating_sub(1);
+        let heard = self.view.peers_in_contact(now, CONTACT_WINDOW_MS);
+        // Probes of unreachable peers get no answer.
+        let probed = self.view.peers().count().saturating_sub(1).max(1);
+        let expected = peers.min(EXPECTED_CONTACTS * peers / probed);
+        let is_isolated = self.is_isolated();
+        self.connectivity = match self.connectivity {
+            Connectivity::Connected
+                if peers >= MIN_SILENT_PEERS && heard * ISOLATED_FRACTION < expected =>
+            {
+                Connectivity::Isolated
+            }
+            Connectivity::Starting | Connectivity::Isolated
+                if heard * RECOVERED_FRACTION >= expected =>
+            {
+                Connectivity::Connected
+            }
+            unchanged => unchanged,
+        };
+        if self.is_isolated() != is_isolated {
+            out.push(GossipAction::IsolationChanged {
+                is_isolated: !is_isolated,
+            });
+        }
+    }
+
     /// Returns the next peers to probe. They include unreachable peers, which may have recovered.
     fn next_probe_targets(&mut self) -> Vec<SocketAddr> {
         let mut targets = Vec::with_capacity(PROBES_PER_ROUND);
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -149,6 +149,10 @@
         }
     }
 
+    pub(crate) const fn clear_suspicion(&mut self) {
+        self.unanswered_probes = 0;
+    }
+
     /// Records a message from the peer itself; returns the process that requested an indirect probe.
     pub(crate) const fn record_contact(&mut self, now: TimeMs) -> Option<SocketAddr> {
         self.has_pending_probe = false;
@@ -217,6 +221,24 @@
             .count()
     }
 
+    /// Returns the number of reachable processes, including the local one, from which or about which
+    /// a message was received.
+    pub(crate) fn confirmed_peers(&self, now: TimeMs) -> usize {
+        let peers = self.peers.iter();
+        peers
+            .filter(|entry| entry.is_confirmed && !entry.is_unreachable(now))
+            .count()
+    }
+
+    /// Returns the number of peers that sent a message within the last `window_ms`.
+    pub(crate) fn peers_in_contact(&self, now: TimeMs, window_ms: DurationMs) -> usize {
+        let is_recent = |contact| now.since(contact) <= window_ms;
+        let peers = self.peers.iter();
+        peers
+            .filter(|entry| entry.last_contact.is_some_and(is_recent))
+            .count()
+    }
+
     pub(crate) fn entries(&self) -> &[PeerEntry] {
         &self.peers
     }
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -589,7 +589,9 @@
             GossipAction::Send { to, message } => {
                 Some(Transit::Message(local_address, to, message))
             }
-            GossipAction::PeerChanged(_) | GossipAction::PeerUnreachable(_) => None,
+            GossipAction::PeerChanged(_)
+            | GossipAction::PeerUnreachable(_)
+            | GossipAction::IsolationChanged { .. } => None,
         })
         .collect()
 }
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -226,7 +226,25 @@
     fleet.partitioned.extend(100..106);
     fleet.run_for(4_000);
     let outcome = fleet.send_on_flow(1, key, number);
-    expect_that!(outcome, eq(Outcome::Dropped(ResultCode::NoEndpoint)));
+    // It takes no agent for dead, and the partition loses the packet.
+    expect_that!(outcome, eq(Outcome::Lost));
+}
+
+// The same if the balancer still reaches some of the agents.
+#[gtest]
+fn a_balancer_partitioned_from_most_agents_resets_no_flow() {
+    let mut fleet = Fleet::new(1, 6, 1);
+    let opened: Vec<_> = (0..20)
+        .map(|caller| (flow(caller, 0), fleet.open(1, flow(caller, 0)).unwrap()))
+        .collect();
+    fleet.partitioned.extend(100..104);
+    fleet.run_for(4_000);
+    for (key, (agent, number)) in opened {
+        if fleet.partitioned.contains(&agent) {
+            let outcome = fleet.send_on_flow(1, key, number);
+            expect_that!(outcome, eq(Outcome::Dropped(ResultCode::NoEndpoint)));
+        }
+    }
 }
 
 // A balancer that has just started may not know all agents yet.
@@ -289,3 +307,17 @@
     let outcome = fleet.send(1, forged);
     expect_that!(outcome, eq(Outcome::Dropped(ResultCode::PacketMalformed)));
 }
+
+// Cut-off entry VM: it must report not ready, so that the platform sends its packets to others.
+#[gtest]
+fn a_cut_off_balancer_is_not_ready_until_it_hears_from_others() {
+    let mut fleet = Fleet::new(3, 5, 1);
+    expect_that!(fleet.balancers[&1].is_ready(fleet.now), eq(true));
+    fleet.partitioned.insert(1);
+    fleet.run_for(1_250);
+    expect_that!(fleet.balancers[&1].is_ready(fleet.now), eq(false));
+    expect_that!(fleet.balancers[&2].is_ready(fleet.now), eq(true));
+    fleet.partitioned.clear();
+    fleet.run_for(500);
+    expect_that!(fleet.balancers[&1].is_ready(fleet.now), eq(true));
+}
--- a/crates/opaque/tests/gossip.rs
+++ b/crates/opaque/tests/gossip.rs
@@ -100,7 +100,7 @@
                         queue.extend(self.send(at, to, message));
                     }
                     GossipAction::PeerUnreachable(peer) => self.unreachable.push((self.now, peer)),
-                    GossipAction::PeerChanged(_) => {}
+                    GossipAction::PeerChanged(_) | GossipAction::IsolationChanged { .. } => {}
                 }
             }
         }
@@ -141,6 +141,18 @@
         }
     }
 
+    /// Cuts the process at `address` off from all others.
+    fn cut_off(&mut self, address: SocketAddr) {
+        for other in self.machines.keys() {
+            self.broken_links.insert((*other, address));
+            self.broken_links.insert((address, *other));
+        }
+    }
+
+    fn is_isolated(&self, address: SocketAddr) -> bool {
+        self.machines[&address].is_isolated()
+    }
+
     /// Returns the bytes per second of the busiest process.
     fn busiest_during(&mut self, duration_ms: u64) -> usize {
         self.bytes.clear();
@@ -236,10 +248,7 @@
     for (count, limit_ms) in [(14, 2_000), (300, 4_000)] {
         let mut mesh = Mesh::start(count);
         mesh.run_for(SETTLED_AFTER_MS);
-        for number in 0..count {
-            mesh.broken_links.insert((address(number), address(5)));
-            mesh.broken_links.insert((address(5), address(number)));
-        }
+        mesh.cut_off(address(5));
         mesh.run_for(10_000);
         expect_that!(mesh.reachable_from(address(5)), eq(0), "{count} processes");
         mesh.broken_links.clear();
@@ -293,3 +302,73 @@
         );
     }
 }
+
+// Cut-off entry VM: it must notice before the platform's readiness checks have sent it seconds of
+// traffic, must not take the others for dead, and must serve again as soon as the cut ends.
+#[gtest]
+fn a_cut_off_process_notices_and_takes_no_other_for_dead() {
+    for count in [14, 87, 300] {
+        let mut mesh = Mesh::start(count);
+        mesh.run_for(SETTLED_AFTER_MS);
+        // Both are cut off from the others, but not from each other.
+        mesh.cut_off(address(4));
+        mesh.cut_off(address(8));
+        mesh.broken_links.remove(&(address(4), address(8)));
+        mesh.broken_links.remove(&(address(8), address(4)));
+        mesh.run_for(1_250);
+        expect_that!(mesh.is_isolated(address(4)), eq(true), "{count} processes");
+        mesh.run_for(8_000);
+        let cut_off = &mesh.machines[&address(4)];
+        let taken_for_dead = (0..count)
+            .filter(|number| cut_off.view().is_unreachable(mesh.now, address(*number)))
+            .count();
+        expect_that!(taken_for_dead, eq(0), "{count} processes");
+        expect_that!(cut_off.is_isolated(), eq(true), "{count} processes");
+        mesh.broken_links.clear();
+        mesh.run_for(1_000);
+        expect_that!(mesh.is_isolated(address(4)), eq(false), "{count} processes");
+    }
+}
+
+// Packet loss alone must not take a balancer out of service.
+#[gtest]
+fn packet_loss_isolates_no_process() {
+    for count in [14, 87] {
+        let mut mesh = Mesh::start(count);
+        mesh.run_for(SETTLED_AFTER_MS);
+        mesh.loss = 0.1;
+        for _ in 0..100 {
+            mesh.run_for(100);
+            let isolated = (0..count).filter(|number| mesh.is_isolated(address(*number)));
+            expect_that!(isolated.count(), eq(0), "{count} processes");
+        }
+    }
+}
+
+// The survivors of a fault that takes half of the processes are not cut off.
+#[gtest]
+fn the_loss_of_half_of_the_processes_isolates_no_other() {
+    for count in [14, 87] {
+        let mut mesh = Mesh::start(count);
+        mesh.run_for(SETTLED_AFTER_MS);
+        for number in (1..count).step_by(2) {
+            mesh.machines.remove(&address(number));
+        }
+        for _ in 0..50 {
+            mesh.run_for(100);
+            let isolated = mesh.machines.values().filter(|it| it.is_isolated());
+            expect_that!(isolated.count(), eq(0), "{count} processes");
+        }
+    }
+}
+
+// The last of a few processes is not cut off: the others may have been removed.
+#[gtest]
+fn the_last_of_three_processes_is_not_isolated() {
+    let mut mesh = Mesh::start(3);
+    mesh.run_for(SETTLED_AFTER_MS);
+    mesh.machines.remove(&address(1));
+    mesh.machines.remove(&address(2));
+    mesh.run_for(5_000);
+    expect_that!(mesh.is_isolated(address(0)), eq(false));
+}
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -75,6 +75,12 @@
             GossipAction::PeerUnreachable(address) => {
                 log::warn!(peer:% = address; "relay: Process silent.");
             }
+            GossipAction::IsolationChanged { is_isolated: true } => {
+                log::warn!("relay: Cut off: no other process sends messages.");
+            }
+            GossipAction::IsolationChanged { is_isolated: false } => {
+                log::info!("relay: No longer cut off.");
+            }
         }
     }
 }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -12,13 +12,15 @@
 
 /// Prefixes of the texts of log lines that report a state change of a process, in this build and the
 /// previous one.
-const STATE_CHANGES: [&str; 13] = [
+const STATE_CHANGES: [&str; 15] = [
     "relay: Process started.",
     "relay: Balancer stops.",
     "relay: Balancer drained.",
     "relay: Agent stops.",
     "relay: Status changed.",
     "relay: Process silent.",
+    "relay: Cut off",
+    "relay: No longer cut off.",
     "relay: Upstream probed.",
     // Text of the previous build for the same event.
     "relay: Upstream looked at.",
