Retry the store in all tasks once it answers one of them

Cause: when all VMs lose power while the store is unavailable, nothing can be served before the store is back, since routes and directory are nowhere else. Each of the two or three tasks of a process then paused up to 1.6 s on its own, and an agent serves only after two of them have read.

Change: an answer to one task ends the pauses of the others; a balancer that pauses looks for another balancer with routes; an agent also retries when it hears by gossip that a balancer watches the store. No more calls are made while the store is away.

--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -7,7 +7,7 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, GOSSIP_INTERVAL_MS,
-    GossipEvent, Peer, PeerMessage, PeerRole, Segment, decode,
+    GossipAction, GossipEvent, Peer, PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
     HEADER_BYTES, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, UpstreamPacket,
@@ -21,6 +21,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, timeout};
 
+use crate::backoff::StoreRecovery;
 use crate::directory::{Directory, DirectoryEvent, object_key, remove_object};
 use crate::metric::{AgentMetrics, count_refusal};
 use crate::process::{ProcessOptions, perform_gossip, send_message};
@@ -90,6 +91,7 @@
     ticks_needed: Notify,
     /// The state machine requested a probe of the upstream.
     probe_requested: Notify,
+    recovery: StoreRecovery,
     metrics: AgentMetrics,
 }
 
@@ -124,6 +126,7 @@
             caller_port: options.caller_port,
             ticks_needed: Notify::new(),
             probe_requested: Notify::new(),
+            recovery: StoreRecovery::default(),
             metrics: AgentMetrics::new(),
         });
         shared.handle(
@@ -142,18 +145,19 @@
             let http_server = HttpServer::bind(address, state).await;
             http_servers.push(http_server.map_err(|source| StartError::Bind { address, source })?);
         }
+        let recovery = shared.recovery.clone();
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&shared).receive_upstream_packets());
         tasks.spawn(Arc::clone(&shared).receive_messages());
         tasks.spawn(Arc::clone(&shared).run_gossip());
         tasks.spawn(Arc::clone(&shared).check_deadlines());
         tasks.spawn(Arc::clone(&shared).probe_upstream());
-        if let Some(directory) = Directory::new(Arc::clone(&store), &local_peer) {
+        if let Some(directory) = Directory::new(Arc::clone(&store), &local_peer, recovery.clone()) {
             let shared = Arc::clone(&shared);
             tasks.spawn(directory.run(move |event| shared.handle_directory_event(event)));
         }
         if let Some(key) = object_key(ObjectKind::FlowRecord, &local_peer) {
-            let recorder = FlowRecorder::new(Arc::clone(&store), key);
+            let recorder = FlowRecorder::new(Arc::clone(&store), key, recovery);
             let (reader, writer, timer) = (
                 Arc::clone(&shared),
                 Arc::clone(&shared),
@@ -310,7 +314,15 @@
                 load:% = status.load;
                 "relay: Status changed."
             ),
-            AgentAction::Gossip(action) => perform_gossip(&self.peers, vec![action], buffer),
+            AgentAction::Gossip(action) => {
+                // A balancer that watches the store shows that the store answers.
+                if let GossipAction::PeerChanged(peer) = &action
+                    && peer.balancer().is_some_and(|status| status.is_watching)
+                {
+                    self.recovery.report();
+                }
+                perform_gossip(&self.peers, vec![action], buffer);
+            }
         }
     }
 
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 
+use crate::backoff::StoreRecovery;
 use crate::configuration::{ConfigurationEvent, follow_configuration};
 use crate::directory::{Directory, DirectoryEvent};
 use crate::exchange::{ConfigurationClient, ConfigurationServer, ConfigurationSource};
@@ -95,6 +96,7 @@
         let configuration_server = ConfigurationServer::bind(address, source).await;
         let configuration_server =
             configuration_server.map_err(|source| StartError::Bind { address, source })?;
+        let recovery = StoreRecovery::default();
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&shared).receive_packets());
         tasks.spawn(Arc::clone(&shared).receive_messages());
@@ -102,6 +104,7 @@
         let (task_source, event_target) = (Arc::clone(&shared), Arc::clone(&shared));
         tasks.spawn(follow_configuration(
             Arc::clone(&store),
+            recovery.clone(),
             ConfigurationClient::open().map_err(|_| StartError::ConfigurationClient)?,
             move || {
                 task_source
@@ -110,7 +113,7 @@
             },
             move |event| event_target.handle_configuration_event(event),
         ));
-        if let Some(directory) = Directory::new(store, &local_peer) {
+        if let Some(directory) = Directory::new(store, &local_peer, recovery) {
             let shared = Arc::clone(&shared);
             tasks.spawn(directory.run(move |event| {
                 if let DirectoryEvent::Listed(peers) = event {
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -12,7 +12,7 @@
 use hawthorntide_types::{DurationMs, Version};
 use tokio::time::sleep;
 
-use crate::backoff::Backoff;
+use crate::backoff::{Backoff, StoreRecovery};
 use crate::exchange::ConfigurationClient;
 
 /// The store answers a watch after this time even if nothing changed. The client gives up on a dead
@@ -39,13 +39,14 @@
 /// to `on_event`.
 pub(crate) async fn follow_configuration(
     store: Arc<ObjectStore>,
+    recovery: StoreRecovery,
     peers: ConfigurationClient,
     task: impl Fn() -> ConfigurationTask,
     mut on_event: impl FnMut(ConfigurationEvent),
 ) {
     let mut revision = None;
     let mut has_configuration = false;
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::new(recovery);
     loop {
         let current_task = task();
         if current_task == ConfigurationTask::Idle && has_configuration {
@@ -76,7 +77,10 @@
             Err(error) => {
                 log::warn!("relay: Configuration not read: {error}.");
                 on_event(ConfigurationEvent::NotWatching);
-                backoff.pause().await;
+                tokio::select! {
+                    () = backoff.pause() => {}
+                    () = wait_for_peer(&task) => {}
+                }
             }
         }
     }
@@ -110,6 +114,13 @@
     }
 }
 
+/// Waits until another balancer has a newer configuration.
+async fn wait_for_peer(task: &impl Fn() -> ConfigurationTask) {
+    while !matches!(task(), ConfigurationTask::FetchFrom(_)) {
+        sleep(TASK_POLL_INTERVAL).await;
+    }
+}
+
 async fn list(
     store: &ObjectStore,
     on_event: &mut impl FnMut(ConfigurationEvent),
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -14,7 +14,7 @@
 use hawthorntide_types::{Incarnation, Version};
 use tokio::time::sleep;
 
-use crate::backoff::Backoff;
+use crate::backoff::{Backoff, StoreRecovery};
 
 /// Minimum time between two listings of the directory. Listings repair the effects of lost gossip.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_secs(10);
@@ -41,10 +41,15 @@
     key: ObjectKey,
     /// Entry of this process, without the fields that change with each incarnation.
     entry: serde_json::Value,
+    recovery: StoreRecovery,
 }
 
 impl Directory {
-    pub(crate) fn new(store: Arc<ObjectStore>, local_peer: &Peer) -> Option<Self> {
+    pub(crate) fn new(
+        store: Arc<ObjectStore>,
+        local_peer: &Peer,
+        recovery: StoreRecovery,
+    ) -> Option<Self> {
         let entry = Peer {
             incarnation: Incarnation(0),
             heartbeat_counter: 0,
@@ -54,6 +59,7 @@
             store,
             key: object_key(ObjectKind::Directory, local_peer)?,
             entry: serde_json::to_value(entry).ok()?,
+            recovery,
         })
     }
 
@@ -62,7 +68,7 @@
     pub(crate) async fn run(self, mut on_event: impl FnMut(DirectoryEvent)) {
         let mut is_registered = false;
         let mut freshness = Freshness::Current;
-        let mut backoff = Backoff::default();
+        let mut backoff = Backoff::new(self.recovery.clone());
         loop {
             let listed = self.store.list_collection(Collection::Own, freshness).await;
             let objects = match listed {
@@ -103,7 +109,7 @@
     /// Writes the entry, replacing the `existing` object with the same key; retries until it is
     /// written.
     async fn register(&self, mut existing: Option<StoredObject>) {
-        let mut backoff = Backoff::default();
+        let mut backoff = Backoff::new(self.recovery.clone());
         loop {
             let expected = existing.as_ref().map_or(Version::NONE, |it| it.version);
             let outcome = self.store.put_if(&self.key, &self.entry, expected).await;
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -7,17 +7,26 @@
 use hawthorntide_types::{DurationMs, Version};
 use tokio::time::sleep;
 
-use crate::backoff::Backoff;
+use crate::backoff::{Backoff, StoreRecovery};
 
 #[derive(Clone, Debug)]
 pub(crate) struct FlowRecorder {
     store: Arc<ObjectStore>,
     key: ObjectKey,
+    recovery: StoreRecovery,
 }
 
 impl FlowRecorder {
-    pub(crate) const fn new(store: Arc<ObjectStore>, key: ObjectKey) -> Self {
-        Self { store, key }
+    pub(crate) const fn new(
+        store: Arc<ObjectStore>,
+        key: ObjectKey,
+        recovery: StoreRecovery,
+    ) -> Self {
+        Self {
+            store,
+            key,
+            recovery,
+        }
     }
 
     /// Passes the record of the agent's previous incarnation to `on_record`, then writes the current
@@ -51,10 +60,13 @@
 
     /// Reads the object; retries until the store answers.
     async fn read_object(&self) -> Option<StoredObject> {
-        let mut backoff = Backoff::default();
+        let mut backoff = Backoff::new(self.recovery.clone());
         loop {
             match self.store.get(&self.key).await {
-                Ok(object) => return object,
+                Ok(object) => {
+                    backoff.reset();
+                    return object;
+                }
                 Err(error) => {
                     log::warn!(key:% = self.key; "relay: Cannot read the flow record: {error}.");
                     backoff.pause().await;
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 
 const PREFIX: &str = "hawthorntide_";
-const SUFFIXES: [&str; 4] = ["_total", "_ms", "_flows", "_version"];
+const SUFFIXES: [&str; 5] = ["_total", "_ms", "_flows", "_requests", "_version"];
 
 /// Adds the metric names in `text` that are enclosed in `quote`.
 fn add_names(text: &str, quote: char, names: &mut BTreeSet<String>) {
