Drop the held request of a flow whose addresses are used again

The agent would have delivered the held request of the old flow into the new one as soon as a slot was free. Found by reading; two tests that fail without the change.

An opening packet on a flow ends its waiting request; if it was only a delayed copy, the caller sends the request again. A new handshake also resets the end of the caller's received data, so that the first request of the new flow is not taken for a retransmission.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -332,7 +332,12 @@
                 flow: segment.flow,
             });
         }
-        if segment.kind == SegmentKind::Reset {
+        // An opening packet may belong to a new flow with the addresses of the old one, whose request
+        // must not reach it.
+        if segment.kind == SegmentKind::Reset || segment.is_opening() {
+            if self.requests.is_waiting(&segment.flow) {
+                self.flows.forget_request(&segment.flow);
+            }
             let changes = self.requests.cancel(now, &segment.flow);
             self.apply_request_changes(now, changes, out);
         }
--- a/crates/opaque/src/flow_table.rs
+++ b/crates/opaque/src/flow_table.rs
@@ -241,7 +241,12 @@
     fn update(&mut self, now: TimeMs, segment: &Segment, state: FlowState) -> Option<DurationMs> {
         let known = self.flows.get(&segment.flow);
         let mut busy_since = known.and_then(|flow| flow.busy_since);
-        let received_end = known.and_then(|flow| flow.received_end);
+        let is_reopened = matches!(state, FlowState::Accepting { .. })
+            && known.is_some_and(|flow| flow.state != state && flow.busy_since.is_none());
+        // A new flow with the addresses of an old one starts at another sequence number.
+        let received_end = known
+            .filter(|_| !is_reopened)
+            .and_then(|flow| flow.received_end);
         let mut waited = None;
         if segment.payload_bytes > 0
             && let Some(since) = busy_since.take()
--- a/crates/opaque/tests/requests.rs
+++ b/crates/opaque/tests/requests.rs
@@ -274,6 +274,44 @@
     expect_that!(agent.machine.waiting_requests(), eq(0));
 }
 
+// A caller reuses the address and port of a flow: the held request of the old flow must not reach the
+// new one, whose caller would get an answer that is not its own.
+#[gtest]
+fn a_held_request_is_not_delivered_into_a_new_flow_with_its_addresses() {
+    let (mut agent, waiting) = Agent::with_waiting_request();
+    let mut reopening = opening(waiting, 0);
+    reopening.sequence = 7_000_000;
+    agent.forward(reopening);
+    agent.answer(flow(0, 0), 0);
+    expect_that!(agent.deliveries(waiting), eq(0));
+}
+
+// The new flow starts at any sequence number: its first request is no retransmission.
+#[gtest]
+fn the_first_request_of_a_new_flow_with_reused_addresses_takes_a_slot() {
+    let mut agent = Agent::new();
+    let key = flow(0, 0);
+    agent.open(key);
+    agent.request(key, 9);
+    agent.answer(key, 9);
+    agent.send(Segment {
+        flow: key,
+        kind: SegmentKind::Accepting,
+        sequence: 5_000,
+        acknowledged: CALLER_START,
+        payload_bytes: 0,
+        is_last: false,
+    });
+    let mut first = request(key, 0);
+    first.acknowledged = 5_001;
+    agent.forward(first);
+    for caller in 1..=MAX_RUNNING as u16 {
+        agent.open(flow(caller, 0));
+        agent.request(flow(caller, 0), 0);
+    }
+    expect_that!(agent.machine.waiting_requests(), eq(1));
+}
+
 // Packets of unknown flows are delivered in a search: most of them belong to another upstream and
 // must not take slots of this one.
 #[gtest]
