Keep the slot of a request that starts late until its deadline

Cause: the deadline of a started request was the latest time at which it could start, so a late one gave its slot back at once and the agent delivered more requests than the upstream has slots. Requests whose end was never observed also stayed in the table of their agent.

--- a/crates/admission/src/slot_scheduler.rs
+++ b/crates/admission/src/slot_scheduler.rs
@@ -1,5 +1,5 @@
-//! Scheduler of requests that can be delayed but not refused, such as those on an open flow of which
-//! the agent cannot write to the caller.
+//! Scheduler of requests that can be delayed but not refused: on an open opaque flow, only the
+//! upstream can answer the caller.
 //!
 //! Requests that can still meet their latency objective start before late ones, since a slot that
 //! serves a late request makes a timely one late, too. Among these, kinds below their guaranteed
@@ -60,8 +60,10 @@
         id: RequestId,
         waited_ms: DurationMs,
     },
-    /// Discard the request: its deadline has passed, or too many requests wait.
+    /// Discard the waiting request: it cannot meet its deadline, or too many requests wait.
     Discard { id: RequestId },
+    /// The end of the started request was not reported until its deadline: it no longer counts.
+    Forget { id: RequestId },
 }
 
 /// Waiting requests of one kind and urgency.
@@ -79,7 +81,6 @@
     id: RequestId,
     kind: WorkKind,
     started: TimeMs,
-    /// The request no longer counts after this time, in case its end is not observed.
     deadline: TimeMs,
 }
 
@@ -115,11 +116,6 @@
         self.classes.iter().map(Class::waiting).sum()
     }
 
-    /// Returns the number of started requests.
-    pub const fn running(&self) -> usize {
-        self.running.len()
-    }
-
     /// Processes `event` and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: TimeMs, event: SlotEvent, out: &mut Vec<SlotAction>) {
         let usage = WorkKind::ALL.map(|kind| self.usage_of(kind));
@@ -140,11 +136,17 @@
             SlotEvent::SlotsChanged(slots) => self.slots = slots,
             SlotEvent::Tick => {}
         }
-        self.running.retain(|running| now <= running.deadline);
+        self.expire(now, out);
+        self.start_waiting(now, out);
+    }
+
+    fn expire(&mut self, now: TimeMs, out: &mut Vec<SlotAction>) {
+        let forgotten = self.running.extract_if(.., |it| now > it.deadline);
+        out.extend(forgotten.map(|running| SlotAction::Forget { id: running.id }));
         for class in &mut self.classes {
-            class.expire(now, out);
+            let service_time = &self.service_times[class.kind as usize];
+            class.expire(now, service_time.upper_estimate_ms(now), out);
         }
-        self.start_waiting(now, out);
     }
 
     const fn max_running(&self) -> u32 {
@@ -165,12 +167,11 @@
             index
         });
         let service_time_ms = self.service_times[request.kind as usize].upper_estimate_ms(now);
-        let latest_start = |limit_ms| now + limit_ms - service_margin(service_time_ms, limit_ms);
         self.classes[index].timely.push(QueuedRequest {
             id: request.id,
             arrived: now,
-            wait_limit: latest_start(request.objective_ms),
-            deadline: latest_start(request.deadline_ms),
+            wait_limit: latest_start(now, request.objective_ms, service_time_ms),
+            deadline: now + request.deadline_ms,
         });
     }
 
@@ -235,11 +236,15 @@
     }
 }
 
-/// Returns how long before the end of `limit_ms` a request must start: long enough for nine of ten
-/// requests, and at most half of the limit. Otherwise, all requests would count as late while the
-/// estimate is high, and those of other kinds would start first.
-fn service_margin(upper_estimate_ms: DurationMs, limit_ms: DurationMs) -> DurationMs {
-    DurationMs((upper_estimate_ms.get() * 3 / 2).min(limit_ms.get() / 2))
+/// Returns until when a request that arrived at `arrived` must start to be answered within
+/// `limit_ms`.
+///
+/// The time left for the answer is enough for nine of ten requests, but at most half of the limit:
+/// while the estimate is high, requests of this kind would otherwise all count as late, and those of
+/// other kinds would start first.
+fn latest_start(arrived: TimeMs, limit_ms: DurationMs, upper_estimate_ms: DurationMs) -> TimeMs {
+    let margin_ms = (upper_estimate_ms.get() * 3 / 2).min(limit_ms.get() / 2);
+    arrived + limit_ms - DurationMs(margin_ms)
 }
 
 impl Class {
@@ -261,11 +266,12 @@
     }
 
     /// Moves requests that can no longer meet their objective to the late ones, and discards those
-    /// whose deadline has passed.
-    fn expire(&mut self, now: TimeMs, out: &mut Vec<SlotAction>) {
+    /// that cannot meet their deadline.
+    fn expire(&mut self, now: TimeMs, service_time_ms: DurationMs, out: &mut Vec<SlotAction>) {
         while let Some(request) = self.timely.pop_expired(now) {
+            let deadline_ms = request.deadline.since(request.arrived);
             self.late.push(QueuedRequest {
-                wait_limit: request.deadline,
+                wait_limit: latest_start(request.arrived, deadline_ms, service_time_ms),
                 ..request
             });
         }
--- a/crates/admission/tests/slot_scheduler.rs
+++ b/crates/admission/tests/slot_scheduler.rs
@@ -39,7 +39,7 @@
 fn started(actions: &[SlotAction]) -> Vec<u64> {
     let started = actions.iter().filter_map(|action| match action {
         SlotAction::Start { id, .. } => Some(id.0),
-        SlotAction::Discard { .. } => None,
+        SlotAction::Discard { .. } | SlotAction::Forget { .. } => None,
     });
     started.collect()
 }
@@ -125,7 +125,7 @@
 #[gtest]
 fn a_request_whose_end_is_not_observed_frees_its_slot() {
     let mut scheduler = occupied_scheduler();
-    let at_ms = 100 + DEADLINE_MS;
+    let at_ms = 101 + DEADLINE_MS;
     let actions = handle(
         &mut scheduler,
         at_ms,
@@ -134,6 +134,20 @@
     expect_that!(started(&actions), elements_are![eq(&2)]);
 }
 
+/// Guards against a late request whose slot is taken for free while the upstream works on it.
+#[gtest]
+fn a_request_that_starts_late_keeps_its_slot_until_its_deadline() {
+    let mut scheduler = occupied_scheduler();
+    for id in [2, 3] {
+        handle(&mut scheduler, 100, SlotEvent::Arrived(request(id, STREAM)));
+    }
+    let late_ms = 100 + DEADLINE_MS - 2 * SERVICE_MS;
+    let first = handle(&mut scheduler, late_ms, SlotEvent::Cancelled(RequestId(0)));
+    expect_that!(started(&first), elements_are![eq(&2)]);
+    let before_deadline = handle(&mut scheduler, 100 + DEADLINE_MS, SlotEvent::Tick);
+    expect_that!(started(&before_deadline), is_empty());
+}
+
 /// Guards against a slot or a place in the queue that a cancelled request keeps.
 #[gtest]
 fn a_cancelled_request_frees_its_place() {
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -478,7 +478,7 @@
         }
         if segment.is_last {
             // The upstream refuses further data on the flow, which takes no slot.
-            for held in self.requests.take_waiting(&segment.flow) {
+            for held in self.requests.take_packets(&segment.flow) {
                 self.deliver_held(now, held, DurationMs(0), out);
             }
             let changes = self.requests.cancel(now, &segment.flow);
@@ -523,7 +523,7 @@
         self.upstream.record_activity();
         if !segment.is_opening() {
             self.flows.remove(&segment.flow);
-            for held in self.requests.take_waiting(&segment.flow) {
+            for held in self.requests.take_packets(&segment.flow) {
                 let packet = Some(held.packet);
                 self.forward_to_next(now, held.search, &held.segment, packet, out);
             }
--- a/crates/opaque/src/requests.rs
+++ b/crates/opaque/src/requests.rs
@@ -14,7 +14,8 @@
 use crate::message::Search;
 use crate::segment::Segment;
 
-/// Limit on the bytes of held packets. Packets beyond it are dropped, and callers retransmit them.
+/// Limit on the bytes of held packets. Beyond it, only the first packet of each request is held, and
+/// callers retransmit the others.
 const MAX_HELD_BYTES: usize = 4 * 1024 * 1024;
 
 /// Limit on the held packets of one request. A caller sends at most 16 unacknowledged packets.
@@ -140,8 +141,9 @@
         self.end(now, flow, SlotEvent::Cancelled)
     }
 
-    /// Removes the request of `flow` if it waits, and returns its packets.
-    pub(crate) fn take_waiting(&mut self, flow: &FlowKey) -> Vec<HeldPacket> {
+    /// Returns the packets of the request of `flow` if it waits, for the caller of this method to
+    /// deliver; the request keeps its place until `cancel`.
+    pub(crate) fn take_packets(&mut self, flow: &FlowKey) -> Vec<HeldPacket> {
         let id = self.by_flow.get(flow);
         let Some(request) = id.and_then(|id| self.requests.get_mut(id)) else {
             return Vec::new();
@@ -153,14 +155,11 @@
 
     /// Removes all requests and returns the packets of the waiting ones.
     pub(crate) fn take_all(&mut self) -> Vec<HeldPacket> {
-        let flows: Vec<_> = self.by_flow.keys().copied().collect();
-        let packets = flows.iter().flat_map(|flow| self.take_waiting(flow));
-        let packets = packets.collect();
-        let slots = self.scheduler.slots();
-        self.scheduler = SlotScheduler::new(slots);
-        self.requests.clear();
+        let requests = std::mem::take(&mut self.requests).into_values();
         self.by_flow.clear();
-        packets
+        self.held_bytes = 0;
+        self.scheduler = SlotScheduler::new(self.scheduler.slots());
+        requests.flat_map(|request| request.packets).collect()
     }
 
     fn end(
@@ -194,15 +193,24 @@
                 Some(RequestChange::Started { packets, waited_ms })
             }
             SlotAction::Discard { id } => {
-                let request = self.requests.remove(&id)?;
-                self.release_bytes(&request.packets);
-                self.by_flow.remove(&request.flow);
-                let flow = request.flow;
+                let flow = self.remove(id)?;
                 Some(RequestChange::Discarded { flow })
             }
+            SlotAction::Forget { id } => {
+                self.remove(id);
+                None
+            }
         }
     }
 
+    /// Removes a request; returns its flow.
+    fn remove(&mut self, id: RequestId) -> Option<FlowKey> {
+        let request = self.requests.remove(&id)?;
+        self.release_bytes(&request.packets);
+        self.by_flow.remove(&request.flow);
+        Some(request.flow)
+    }
+
     fn release_bytes(&mut self, packets: &[HeldPacket]) {
         let bytes: usize = packets.iter().map(|held| held.packet.len()).sum();
         self.held_bytes -= bytes;
