Pause between attempts when neither a balancer nor the store has the configuration

Cause: the pause after a failed call of the store ended as soon as another balancer had a newer configuration. If that balancer was the one whose answer had just failed, the next attempt came at once, without a limit on the calls. Found by reading.

--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -77,9 +77,14 @@
             Err(error) => {
                 log::warn!("relay: Configuration not read: {error}.");
                 on_event(ConfigurationEvent::NotWatching);
-                tokio::select! {
-                    () = backoff.pause() => {}
-                    () = wait_for_peer(&task) => {}
+                // If another balancer has a newer configuration now, it has just failed to serve it.
+                if matches!(current_task, ConfigurationTask::FetchFrom(_)) {
+                    backoff.pause().await;
+                } else {
+                    tokio::select! {
+                        () = backoff.pause() => {}
+                        () = wait_for_peer(&task) => {}
+                    }
                 }
             }
         }
