--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -41,27 +41,22 @@
 /// Peers from which a process of a large deployment hears within `CONTACT_WINDOW_MS` at least.
 const EXPECTED_CONTACTS: usize = 18;
 
-/// A process is cut off when it hears from less than this fraction of the expected peers. Not from
-/// none at all: processes that are cut off together may still reach each other.
-const ISOLATED_FRACTION: usize = 6;
+/// A process is cut off when it hears from less than one in this many of the expected peers. The
+/// limit is above zero because processes that are cut off together may still reach each other.
+const ISOLATED_DIVISOR: usize = 6;
 
-/// A process that was cut off has recovered when it hears from this fraction of the expected peers.
-const RECOVERED_FRACTION: usize = 3;
+/// A process that was cut off has recovered when it hears from one in this many of the expected
+/// peers.
+const RECOVERED_DIVISOR: usize = 3;
+
+/// After this time, a process takes silent peers for dead although it is cut off: they may have been
+/// replaced meanwhile.
+const MAX_ISOLATION_MS: DurationMs = DurationMs(30_000);
 
 /// Silence of fewer peers than this does not show that the local process is cut off: they may have
 /// terminated.
 const MIN_SILENT_PEERS: usize = 3;
 
-/// Whether the network of the local VM works, judged by the peers that are in contact.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Connectivity {
-    /// The process has not heard from enough peers yet.
-    Starting,
-    Connected,
-    /// Most peers fell silent at once.
-    Isolated,
-}
-
 /// Updates in a message, so that messages stay small when many peers change.
 const MAX_UPDATES: usize = 8;
 
@@ -113,6 +108,18 @@
     FullView,
 }
 
+/// Whether the network of the local VM works, judged by the peers that are in contact.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Connectivity {
+    /// The process has not heard from enough peers yet.
+    Starting,
+    Connected,
+    /// Most peers fell silent at once.
+    Isolated {
+        since: TimeMs,
+    },
+}
+
 /// State machine of gossip and failure detection.
 #[derive(Clone, Debug)]
 pub struct GossipMachine {
@@ -159,7 +166,7 @@
     /// Returns whether most peers fell silent at once: the fault is then most likely in the network of
     /// the local VM.
     pub const fn is_isolated(&self) -> bool {
-        matches!(self.connectivity, Connectivity::Isolated)
+        matches!(self.connectivity, Connectivity::Isolated { .. })
     }
 
     pub fn handle(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<GossipAction>) {
@@ -275,15 +282,18 @@
         let is_isolated = self.is_isolated();
         self.connectivity = match self.connectivity {
             Connectivity::Connected
-                if peers >= MIN_SILENT_PEERS && heard * ISOLATED_FRACTION < expected =>
+                if peers >= MIN_SILENT_PEERS && heard * ISOLATED_DIVISOR < expected =>
             {
-                Connectivity::Isolated
+                Connectivity::Isolated { since: now }
             }
-            Connectivity::Starting | Connectivity::Isolated
-                if heard * RECOVERED_FRACTION >= expected =>
+            Connectivity::Starting | Connectivity::Isolated { .. }
+                if heard * RECOVERED_DIVISOR >= expected =>
             {
                 Connectivity::Connected
             }
+            Connectivity::Isolated { since } if now.since(since) > MAX_ISOLATION_MS => {
+                Connectivity::Starting
+            }
             unchanged => unchanged,
         };
         if self.is_isolated() != is_isolated {
--- a/crates/opaque/tests/gossip.rs
+++ b/crates/opaque/tests/gossip.rs
@@ -330,6 +330,20 @@
     }
 }
 
+// While a process is cut off, all others may be replaced: it must not wait for them forever.
+#[gtest]
+fn a_process_whose_peers_are_gone_for_good_takes_them_for_dead_in_the_end() {
+    let mut mesh = Mesh::start(14);
+    mesh.run_for(SETTLED_AFTER_MS);
+    for number in (0..14).filter(|number| *number != 4) {
+        mesh.machines.remove(&address(number));
+    }
+    mesh.run_for(40_000);
+    let last = &mesh.machines[&address(4)];
+    expect_that!(last.is_isolated(), eq(false));
+    expect_that!(last.view().reachable_agents(mesh.now), eq(0));
+}
+
 // Packet loss alone must not take a balancer out of service.
 #[gtest]
 fn packet_loss_isolates_no_process() {
