Make the test of a late start fail without its fix

The test passed on the code before as well: the second waiting request had been discarded by then, so nothing could start whatever the slots. A new request now arrives before the deadline of the late one. Run against the scheduler of it fails (request 4 starts); on the present code it passes.

--- a/crates/admission/tests/slot_scheduler.rs
+++ b/crates/admission/tests/slot_scheduler.rs
@@ -144,8 +144,10 @@
     let late_ms = 100 + DEADLINE_MS - 2 * SERVICE_MS;
     let first = handle(&mut scheduler, late_ms, SlotEvent::Cancelled(RequestId(0)));
     expect_that!(started(&first), elements_are![eq(&2)]);
-    let before_deadline = handle(&mut scheduler, 100 + DEADLINE_MS, SlotEvent::Tick);
-    expect_that!(started(&before_deadline), is_empty());
+    let before_deadline_ms = 100 + DEADLINE_MS - 10;
+    let event = SlotEvent::Arrived(request(4, STREAM));
+    let next = handle(&mut scheduler, before_deadline_ms, event);
+    expect_that!(started(&next), is_empty());
 }
 
 /// Guards against a slot or a place in the queue that a cancelled request keeps.
