--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub use fabric::{BalancerLink, Fabric, FabricCounts, FabricOptions, ServiceSocket};
 pub use link::UpstreamFault;
-pub use store::{CallCounts, StoreFaults, StoreHandle, StoreServer, StoreServerOptions};
+pub use store::{
+    CallCounts, EraHeader, StoreCopy, StoreFaults, StoreHandle, StoreServer, StoreServerOptions,
+};
 pub use upstream::{ReportAccuracy, RunRecord, Upstream, UpstreamCounts, UpstreamOptions};
 pub use work::{STREAM_MESSAGE_BYTES, WorkOrder};
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -14,7 +14,8 @@
 use self::serve::Listener;
 use self::state::Shared;
 
-pub use self::fault::{CallCounts, StoreFaults, StoreHandle};
+pub use self::fault::{CallCounts, EraHeader, StoreFaults, StoreHandle};
+pub use self::state::StoreCopy;
 
 /// A watch can resume from any revision within this many changes.
 const DEFAULT_HISTORY_EVENTS: usize = 10_000;
--- a/crates/emulator/src/store/api.rs
+++ b/crates/emulator/src/store/api.rs
@@ -152,10 +152,11 @@
     let deadline = Instant::now() + Duration::from(query.wait_ms).min(MAX_WATCH_WAIT);
     let mut changes = shared.watch_revision();
     let mut fault_changes = shared.watch_faults();
+    let era = shared.lock().era;
     loop {
         changes.mark_unchanged();
         let faults = fault_changes.borrow_and_update().clone();
-        if faults.are_watches_closed {
+        if faults.are_watches_closed || shared.lock().era != era {
             closer.close();
             return status(state, StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/emulator/src/store/fault.rs
+++ b/crates/emulator/src/store/fault.rs
@@ -4,7 +4,7 @@
 
 use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Version};
 
-use super::state::Shared;
+use super::state::{Shared, StoreCopy};
 
 /// Faults of the emulated store; none by default.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -21,6 +21,19 @@
     pub event_delay_ms: DurationMs,
     /// Calls beyond this rate are refused with status 429.
     pub call_limit: Option<RatePerSecond>,
+    pub era_header: EraHeader,
+}
+
+/// What the answers of the store report as its era.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum EraHeader {
+    /// The era.
+    #[default]
+    Era,
+    /// Nothing, like a store that does not count its eras.
+    Missing,
+    /// This text.
+    Text(String),
 }
 
 /// Calls received by the store; a long-polling watch counts once.
@@ -73,4 +86,16 @@
     pub fn revision(&self) -> Version {
         self.shared.lock().revision
     }
+
+    /// Takes a copy of all objects and of the history.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.lock().copy()
+    }
+
+    /// Returns to a copy and starts the next era. All changes since are lost, and their revisions
+    /// are given out again. Waiting watches are cut off.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.shared.lock().restore(copy);
+        self.shared.notify_watches();
+    }
 }
--- a/crates/emulator/src/store/serve.rs
+++ b/crates/emulator/src/store/serve.rs
@@ -21,6 +21,9 @@
 use super::api::{self, StoreState};
 use super::state::Shared;
 
+/// Header in which every answer reports the era of the store.
+const ERA_HEADER: &str = "store-era";
+
 /// Length of the kernel's accept queue.
 const LISTEN_BACKLOG: u32 = 1024;
 
@@ -127,15 +130,21 @@
         let (closer, store) = (closer.clone(), store.clone());
         // Spawned, so that a delayed write takes effect even if the client disconnects first.
         let call = tokio::spawn(async move {
-            sleep(store.0.faults().delay_ms.into()).await;
+            let shared = Arc::clone(&store.0);
+            sleep(shared.faults().delay_ms.into()).await;
             let mut state = State::from_request(request, peer);
             state.put(closer);
             state.put(store);
-            call_handler(handler, AssertUnwindSafe(state)).await
+            let response = call_handler(handler, AssertUnwindSafe(state)).await;
+            (response, shared.era_header())
         });
         async move {
-            let response = call.await.ok().and_then(Result::ok);
-            Ok::<_, Infallible>(response.unwrap_or_default())
+            let (response, era) = call.await.map_or((None, None), |(it, era)| (it.ok(), era));
+            let mut response = response.unwrap_or_default();
+            if let Some(era) = era.and_then(|era| era.parse().ok()) {
+                response.headers_mut().insert(ERA_HEADER, era);
+            }
+            Ok::<_, Infallible>(response)
         }
     });
     let _ = stream.set_nodelay(true);
--- a/crates/emulator/src/store/state.rs
+++ b/crates/emulator/src/store/state.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::StoreServerOptions;
-use super::fault::{CallCounts, StoreFaults};
+use super::fault::{CallCounts, EraHeader, StoreFaults};
 
 /// The call limit applies to each window of this length.
 const LIMIT_WINDOW: Duration = Duration::from_secs(1);
@@ -26,6 +26,8 @@
 
 #[derive(Debug)]
 pub(super) struct State {
+    /// Number of the history, from 1; a restore starts the next one.
+    pub(super) era: u64,
     pub(super) revision: Version,
     pub(super) counts: CallCounts,
     pub(super) lose_next_answers: u32,
@@ -38,7 +40,15 @@
     random: ChaCha8Rng,
 }
 
-#[derive(Debug)]
+/// Copy of all objects and of the history of a store.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: Version,
+    objects: Vec<ObjectBody>,
+    history: VecDeque<Change>,
+}
+
+#[derive(Clone, Debug)]
 struct Change {
     at: Instant,
     object: ObjectBody,
@@ -63,6 +73,7 @@
 impl Shared {
     pub(super) fn new(options: StoreServerOptions) -> Self {
         let state = State {
+            era: 1,
             revision: Version::NONE,
             counts: CallCounts::default(),
             lose_next_answers: 0,
@@ -100,7 +111,16 @@
         self.revision_sender.subscribe()
     }
 
-    /// Wakes long-polling watches after a write.
+    /// Returns what answers report as the era of the store.
+    pub(super) fn era_header(&self) -> Option<String> {
+        match self.faults().era_header {
+            EraHeader::Era => Some(self.lock().era.to_string()),
+            EraHeader::Missing => None,
+            EraHeader::Text(text) => Some(text),
+        }
+    }
+
+    /// Wakes long-polling watches after a write or a restore.
     pub(super) fn notify_watches(&self) {
         let revision = self.lock().revision;
         self.revision_sender.send_replace(revision);
@@ -143,6 +163,21 @@
         }
     }
 
+    pub(super) fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision,
+            objects: self.objects.clone(),
+            history: self.history.clone(),
+        }
+    }
+
+    pub(super) fn restore(&mut self, copy: &StoreCopy) {
+        self.era += 1;
+        self.revision = copy.revision;
+        self.objects.clone_from(&copy.objects);
+        self.history.clone_from(&copy.history);
+    }
+
     /// Writes the value if the object's version is `expected`; otherwise returns the current
     /// object.
     pub(super) fn put(
