Add failing tests of a restored store

Callers of a route that was added after the store came back from a copy got no answer, then resets, from balancers that kept an older version.

--- a/crates/opaque/tests/watchers.rs
+++ b/crates/opaque/tests/watchers.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::{Fleet, configuration, peer_address};
+use common::{Fleet, configuration, flow, opening, peer_address};
 use googletest::prelude::*;
-use hawthorntide_opaque::{ConfigurationTask, GossipEvent};
+use hawthorntide_opaque::{BalancerDecision, ConfigurationTask, GossipEvent};
+use hawthorntide_types::ResultCode;
 
 /// Publishes whether each balancer watches, until the roles are stable. The store does not answer the
 /// balancers in `unanswered`. Returns the watchers.
@@ -97,3 +98,24 @@
         .apply(configuration(3, 1));
     expect_that!(task(&fleet, 1), eq(ConfigurationTask::Watch));
 }
+
+// A watch can miss a change. A balancer that knows of a newer version elsewhere must not refuse new
+// flows of the newer routes, although its own watch was answered without a change.
+#[gtest]
+fn a_watch_without_changes_confirms_nothing_while_another_balancer_is_ahead() {
+    let mut fleet = Fleet::new(2, 2, 1);
+    elect_watchers(&mut fleet, &[]);
+    let ahead = fleet.balancers.get_mut(&1).unwrap();
+    ahead.apply(configuration(2, 2));
+    let role = ahead.role(true);
+    fleet.gossip(1, GossipEvent::LocalRoleChanged(role));
+    let now = fleet.now;
+    let behind = fleet.balancers.get_mut(&2).unwrap();
+    behind.confirm(now);
+    let opening = opening(flow(1, 1), 0);
+    let decision = behind.place(now, &opening);
+    expect_that!(decision, eq(&BalancerDecision::Drop(ResultCode::NotFound)));
+    behind.apply(configuration(3, 1));
+    let decision = behind.place(now, &opening);
+    expect_that!(decision, eq(&BalancerDecision::Reset(ResultCode::NotFound)));
+}
