Log the era of the store and where a watch resumes

The logs could not tell a watch that resumes in another history from a store that loses events. The store client now reads the era of each answer, logs its changes and serves it as a metric; a balancer logs the revisions between which an interrupted watch resumed. No logic changes.

--- a/crates/emulator/src/store/serve.rs
+++ b/crates/emulator/src/store/serve.rs
@@ -13,6 +13,7 @@
 use gotham::router::Router;
 use gotham::service::call_handler;
 use gotham::state::{State, StateData};
+use hawthorntide_store::ERA_HEADER;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -21,9 +22,6 @@
 use super::api::{self, StoreState};
 use super::state::Shared;
 
-/// Header in which every answer reports the era of the store.
-const ERA_HEADER: &str = "store-era";
-
 /// Length of the kernel's accept queue.
 const LISTEN_BACKLOG: u32 = 1024;
 
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -47,6 +47,7 @@
     let mut revision = None;
     let mut has_configuration = false;
     let mut backoff = Backoff::new(recovery);
+    let mut is_interrupted = false;
     loop {
         let current_task = task();
         if current_task == ConfigurationTask::Idle && has_configuration {
@@ -66,6 +67,10 @@
         };
         match result {
             Ok(reached) => {
+                if is_interrupted && let Some(from) = revision {
+                    log::info!(from:% = from, reached:% = reached; "relay: Watch of the configuration resumed.");
+                }
+                is_interrupted = false;
                 revision = Some(reached);
                 has_configuration = true;
                 backoff.reset();
@@ -76,6 +81,7 @@
             }
             Err(error) => {
                 log::warn!("relay: Configuration not read: {error}.");
+                is_interrupted = true;
                 on_event(ConfigurationEvent::NotWatching);
                 // If another balancer has a newer configuration now, it has just failed to serve it.
                 if matches!(current_task, ConfigurationTask::FetchFrom(_)) {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -16,6 +16,7 @@
 use crate::dialect::{
     Collection, Freshness, ListPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
 };
+use crate::era::EraObserver;
 use crate::object::{Listing, MAX_VALUE_BYTES, ObjectKey, StoredObject, WatchResult, WriteId};
 use crate::protocol::{ObjectApi, ObjectBody, REVISION_GONE_STATUS, decode_object, encode_value};
 use crate::write::WriteOutcome;
@@ -69,6 +70,7 @@
     dialect: Arc<dyn StoreDialect>,
     options: StoreOptions,
     budget: Mutex<RetryBudget>,
+    era: EraObserver,
 }
 
 /// Failure of one attempt.
@@ -116,6 +118,7 @@
             dialect,
             options,
             budget: Mutex::new(RetryBudget::new(options.seed)),
+            era: EraObserver::default(),
         })
     }
 
@@ -192,7 +195,7 @@
         let call = self.dialect.watch(collection, from, wait);
         let margin = Duration::from_millis(wait.get().saturating_add(WATCH_MARGIN_MS));
         let deadline = Instant::now() + margin;
-        let response = send_expecting_ok(self.request(&call), deadline).await;
+        let response = self.send_expecting_ok(self.request(&call), deadline).await;
         let body = read_body(response.map_err(AttemptError::store_error)?, deadline).await?;
         self.dialect.watch_answer(collection, &body)
     }
@@ -375,7 +378,7 @@
     ) -> Result<PutResponse, AttemptError> {
         let call = self.dialect.write(key, encoded.to_owned(), expected);
         let deadline = self.attempt_deadline(deadline);
-        let response = send_once(self.request(&call), deadline).await?;
+        let response = self.send_once(self.request(&call), deadline).await?;
         let status = response.status();
         if status.is_success() {
             let body = read_body(response, deadline).await;
@@ -427,7 +430,7 @@
     ) -> Result<Option<StoredObject>, AttemptError> {
         let call = self.dialect.read(key);
         let deadline = self.attempt_deadline(deadline);
-        let response = send_once(self.request(&call), deadline).await?;
+        let response = self.send_once(self.request(&call), deadline).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
             StatusCode::OK => {
@@ -451,7 +454,10 @@
     ) -> Result<Response, StoreError> {
         self.budget().deposit();
         for attempt in 0.. {
-            match send_expecting_ok(request(), self.attempt_deadline(deadline)).await {
+            match self
+                .send_expecting_ok(request(), self.attempt_deadline(deadline))
+                .await
+            {
                 Ok(response) => return Ok(response),
                 Err(AttemptError::Final(error)) => return Err(error),
                 Err(error) if !self.wait_for_retry(attempt, deadline).await => {
@@ -481,6 +487,42 @@
         request
     }
 
+    async fn send_expecting_ok(
+        &self,
+        request: RequestBuilder,
+        deadline: Instant,
+    ) -> Result<Response, AttemptError> {
+        let response = self.send_once(request, deadline).await?;
+        if response.status() == StatusCode::OK {
+            return Ok(response);
+        }
+        Err(attempt_error(response.status()))
+    }
+
+    async fn send_once(
+        &self,
+        request: RequestBuilder,
+        deadline: Instant,
+    ) -> Result<Response, AttemptError> {
+        match timeout_at(deadline, request.send()).await {
+            Ok(Ok(response)) => {
+                count_call(response.status().as_u16().to_string());
+                self.era
+                    .observe(response.headers(), self.dialect.era_header());
+                Ok(response)
+            }
+            // Without a connection, nothing was sent.
+            Ok(Err(error)) if error.is_connect() => {
+                count_call("unreachable".to_owned());
+                Err(AttemptError::Refused(StoreError::Unavailable))
+            }
+            Ok(Err(_)) | Err(_) => {
+                count_call("lost".to_owned());
+                Err(AttemptError::Ambiguous)
+            }
+        }
+    }
+
     /// Waits for the backoff before a retry. Returns false, without waiting, if the retry budget is
     /// exhausted or the backoff would exceed the deadline.
     async fn wait_for_retry(&self, attempt: u32, deadline: Instant) -> bool {
@@ -508,35 +550,6 @@
     }
 }
 
-async fn send_expecting_ok(
-    request: RequestBuilder,
-    deadline: Instant,
-) -> Result<Response, AttemptError> {
-    let response = send_once(request, deadline).await?;
-    if response.status() == StatusCode::OK {
-        return Ok(response);
-    }
-    Err(attempt_error(response.status()))
-}
-
-async fn send_once(request: RequestBuilder, deadline: Instant) -> Result<Response, AttemptError> {
-    match timeout_at(deadline, request.send()).await {
-        Ok(Ok(response)) => {
-            count_call(response.status().as_u16().to_string());
-            Ok(response)
-        }
-        // Without a connection, nothing was sent.
-        Ok(Err(error)) if error.is_connect() => {
-            count_call("unreachable".to_owned());
-            Err(AttemptError::Refused(StoreError::Unavailable))
-        }
-        Ok(Err(_)) | Err(_) => {
-            count_call("lost".to_owned());
-            Err(AttemptError::Ambiguous)
-        }
-    }
-}
-
 fn count_call(outcome: String) {
     metrics::counter!("hawthorntide_store_calls_total", "outcome" => outcome).increment(1);
 }
--- a/crates/store/src/client/removal.rs
+++ b/crates/store/src/client/removal.rs
@@ -4,7 +4,7 @@
 use reqwest::StatusCode;
 use tokio::time::Instant;
 
-use super::{AttemptError, ObjectStore, StoreError, attempt_error, send_once};
+use super::{AttemptError, ObjectStore, StoreError, attempt_error};
 use crate::dialect::StoreRequest;
 use crate::object::ObjectKey;
 use crate::write::{Removal, WriteOutcome};
@@ -48,7 +48,7 @@
         deadline: Instant,
     ) -> Result<Removal, AttemptError> {
         let deadline = self.attempt_deadline(deadline);
-        let response = send_once(self.request(call), deadline).await?;
+        let response = self.send_once(self.request(call), deadline).await?;
         match response.status() {
             status if status.is_success() => Ok(Removal::Gone),
             StatusCode::NOT_FOUND => Ok(Removal::Gone),
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -86,6 +86,9 @@
 /// that does not hold, 410 for history that is no longer kept, and 429 and 503 for calls that were
 /// not executed.
 pub trait StoreDialect: Debug + Send + Sync {
+    /// Name of the header in which every answer reports the era of the store.
+    fn era_header(&self) -> &'static str;
+
     /// Request that lists a collection, starting after the cursor `after`.
     fn list(
         &self,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod client;
 mod dialect;
+mod era;
 mod object;
 mod protocol;
 mod write;
@@ -15,7 +16,7 @@
     Listing, MAX_VALUE_BYTES, ObjectKey, ObjectKind, StoredObject, WatchResult, WriteId,
 };
 pub use protocol::{
-    ConflictBody, ListBody, ObjectApi, ObjectBody, PutBody, REVISION_GONE_STATUS, VersionBody,
-    WatchBody, list_path, object_path, watch_path,
+    ConflictBody, ERA_HEADER, ListBody, ObjectApi, ObjectBody, PutBody, REVISION_GONE_STATUS,
+    VersionBody, WatchBody, list_path, object_path, watch_path,
 };
 pub use write::{Removal, WriteOutcome};
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -3,6 +3,9 @@
 //! `GET /v1/objects` lists all objects, and `GET /v1/objects/{kind}/{name}` reads one. `PUT` on the
 //! same path with `If-Match: {version}` writes it; version 0 means that the object must not exist.
 //! `GET /v1/watch?from={revision}&wait_ms={wait}` waits for changes after a revision.
+//!
+//! The store may come back from a copy that is some seconds old. It then has lost the changes since, and
+//! gives out their revisions again. The header `Store-Era` of every answer rises by one each time.
 
 use hawthorntide_types::{DurationMs, ParseValueError, Version};
 use serde::de::DeserializeOwned;
@@ -17,6 +20,9 @@
 /// HTTP status of a watch from a revision that the store's history no longer covers.
 pub const REVISION_GONE_STATUS: u16 = 410;
 
+/// Header in which every answer reports the era of the store.
+pub const ERA_HEADER: &str = "store-era";
+
 /// Object as stored, with its value not yet decoded.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ObjectBody {
@@ -79,6 +85,10 @@
 pub struct ObjectApi;
 
 impl StoreDialect for ObjectApi {
+    fn era_header(&self) -> &'static str {
+        ERA_HEADER
+    }
+
     fn list(&self, _: Collection, _: Option<&str>, _: Freshness) -> StoreRequest {
         StoreRequest::get(list_path().to_owned())
     }
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -24,6 +24,11 @@
     /// Version of an object, assigned by the platform store to each write; higher is newer.
     Version(u64)
 }
+number! {
+    /// Counts the histories of the platform store: it rises each time the store comes back from a copy.
+    /// 0 if the store does not report it.
+    StoreEra(u64)
+}
 number! {
     /// Identifies a caller's session at one agent; drawn at random by the agent.
     SessionId(u64)
