Give the version of an operator's configuration a type of its own

The version of the routes comes from the operator and has nothing to do with the revisions of the platform store, which the type Version stands for. No behaviour changes.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, NodeId, Phase, ResultCode, ServiceName, TimeMs, Version};
+use hawthorntide_types::{
+    ConfigurationVersion, DurationMs, NodeId, Phase, ResultCode, ServiceName, TimeMs,
+};
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
@@ -186,7 +188,10 @@
     }
 
     /// Returns the versions and addresses of the balancers with newer routes.
-    fn newer_balancers(&self, now: TimeMs) -> impl Iterator<Item = (Version, SocketAddr)> {
+    fn newer_balancers(
+        &self,
+        now: TimeMs,
+    ) -> impl Iterator<Item = (ConfigurationVersion, SocketAddr)> {
         let local_version = self.routes.version();
         let balancers = self.gossip.view().reachable_balancers(now);
         let versions = balancers.filter_map(|peer| Some((peer.balancer()?.version, peer.address)));
--- a/crates/opaque/src/peer.rs
+++ b/crates/opaque/src/peer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use hawthorntide_types::{
-    FailureDomain, Incarnation, PerMille, Phase, ServiceName, Version, Weight,
+    ConfigurationVersion, FailureDomain, Incarnation, PerMille, Phase, ServiceName, Weight,
 };
 use serde::{Deserialize, Serialize};
 
@@ -68,7 +68,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BalancerStatus {
     /// Version of the routes in force.
-    pub version: Version,
+    pub version: ConfigurationVersion,
     /// The balancer watches the platform store, and the store answers.
     pub is_watching: bool,
 }
--- a/crates/opaque/src/route.rs
+++ b/crates/opaque/src/route.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, ServiceName, Version};
+use hawthorntide_types::{ConfigurationVersion, DurationMs, ServiceName};
 use serde::{Deserialize, Serialize};
 
 use crate::class::RequestClass;
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Configuration {
     /// Version set by the operator.
-    pub version: Version,
+    pub version: ConfigurationVersion,
     /// Routes, sorted by service address.
     pub routes: Vec<Route>,
     /// Idle timeout: the state of a flow may be removed after this time without packets.
@@ -46,7 +46,11 @@
 
 impl Configuration {
     /// Sorts the routes by service address, as `RouteTable::find` requires.
-    pub fn new(version: Version, mut routes: Vec<Route>, flow_idle_ms: DurationMs) -> Self {
+    pub fn new(
+        version: ConfigurationVersion,
+        mut routes: Vec<Route>,
+        flow_idle_ms: DurationMs,
+    ) -> Self {
         routes.sort_by_key(|route| route.service_address);
         Self {
             version,
@@ -97,10 +101,10 @@
         true
     }
 
-    /// Returns the version in force, or `Version::NONE`.
-    pub fn version(&self) -> Version {
+    /// Returns the version in force, or `ConfigurationVersion::NONE`.
+    pub fn version(&self) -> ConfigurationVersion {
         let configuration = self.configuration.as_ref();
-        configuration.map_or(Version::NONE, |it| it.version)
+        configuration.map_or(ConfigurationVersion::NONE, |it| it.version)
     }
 
     pub const fn configuration(&self) -> Option<&Configuration> {
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -11,8 +11,8 @@
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
-    DurationMs, Incarnation, PerMille, Phase, ResultCode, ServiceName, SlotCount, TimeMs, Version,
-    Weight,
+    ConfigurationVersion, DurationMs, Incarnation, PerMille, Phase, ResultCode, ServiceName,
+    SlotCount, TimeMs, Weight,
 };
 
 pub const IDLE_MS: DurationMs = DurationMs(60_000);
@@ -87,7 +87,7 @@
         }],
         class: RequestClass::default(),
     });
-    Configuration::new(Version(version), routes.collect(), IDLE_MS)
+    Configuration::new(ConfigurationVersion(version), routes.collect(), IDLE_MS)
 }
 
 pub fn report(born_ms: u64, sequence: u64, is_draining: bool) -> UpstreamReport {
--- a/crates/opaque/tests/load.rs
+++ b/crates/opaque/tests/load.rs
@@ -7,7 +7,7 @@
 };
 use googletest::prelude::*;
 use hawthorntide_opaque::{Backend, Configuration, RequestClass, Route};
-use hawthorntide_types::{ResultCode, Version};
+use hawthorntide_types::{ConfigurationVersion, ResultCode};
 
 /// Opens flows through the balancer, `gap_ms` apart, and returns the number of flows per agent.
 fn open_many(fleet: &mut Fleet, callers: std::ops::Range<u16>, gap_ms: u64) -> Vec<(u8, usize)> {
@@ -119,7 +119,7 @@
         backends: vec![backend(0, 50), backend(1, 50), backend(2, 0)],
         class: RequestClass::default(),
     };
-    let configuration = Configuration::new(Version(9), vec![route], IDLE_MS);
+    let configuration = Configuration::new(ConfigurationVersion(9), vec![route], IDLE_MS);
     fleet.balancers.get_mut(&1).unwrap().apply(configuration);
     let before_failure = open_many(&mut fleet, 0..60, 60);
     let flows_of_second_service = |taken: &[(u8, usize)]| -> usize {
--- a/crates/opaque/tests/routes.rs
+++ b/crates/opaque/tests/routes.rs
@@ -5,7 +5,7 @@
 use common::{Fleet, Outcome, configuration, flow, opening, service, service_address};
 use googletest::prelude::*;
 use hawthorntide_opaque::{Backend, Configuration, RequestClass, Route, RouteTable};
-use hawthorntide_types::{DurationMs, ResultCode, Version};
+use hawthorntide_types::{ConfigurationVersion, DurationMs, ResultCode};
 
 // A configuration must not be replaced by an earlier version.
 #[gtest]
@@ -15,7 +15,7 @@
     for version in [7, 3] {
         expect_that!(table.apply(configuration(version, 1)), eq(false));
     }
-    expect_that!(table.version(), eq(Version(7)));
+    expect_that!(table.version(), eq(ConfigurationVersion(7)));
     expect_that!(table.find(service_address(1)).is_some(), eq(true));
 }
 
@@ -84,7 +84,11 @@
         .collect();
     routes.reverse();
     let mut table = RouteTable::default();
-    table.apply(Configuration::new(Version(1), routes, DurationMs(1)));
+    table.apply(Configuration::new(
+        ConfigurationVersion(1),
+        routes,
+        DurationMs(1),
+    ));
     for number in 0..50 {
         expect_that!(table.find(service_address(number)).is_some(), eq(true));
     }
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -24,6 +24,10 @@
     /// Version of an object, assigned by the platform store to each write; higher is newer.
     Version(u64)
 }
+number! {
+    /// Version that the operator gives to a configuration of opaque flows; higher is newer.
+    ConfigurationVersion(u64)
+}
 number! {
     /// Counts the histories of the platform store: it rises each time the store comes back from a copy.
     /// 0 if the store does not report it.
@@ -83,6 +87,11 @@
     }
 }
 
+impl ConfigurationVersion {
+    /// Stands for the absence of a configuration.
+    pub const NONE: Self = Self(0);
+}
+
 impl Version {
     /// Stands for an object that does not exist; every stored version is higher.
     pub const NONE: Self = Self(0);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,8 +11,8 @@
 
 pub use code::{Ran, ResultCode, Retry};
 pub use identifier::{
-    EndpointId, Epoch, FailureDomain, Incarnation, NodeId, ProfileName, Region, Sequence,
-    ServiceId, ServiceName, SessionId, StoreEra, Version,
+    ConfigurationVersion, EndpointId, Epoch, FailureDomain, Incarnation, NodeId, ProfileName,
+    Region, Sequence, ServiceId, ServiceName, SessionId, StoreEra, Version,
 };
 pub use newtype::ParseValueError;
 pub use profile::{Profile, ProfileProblem, Treatment, Urgency, WorkKind, WorkProfile};
