Identify objects and positions of the store by era and revision

Callers of a route that was added after the platform store came back from a copy got no answer, then resets, from balancers that kept an older configuration for good.

Cause: a revision was taken for the identity of a state, but a store that comes back from a copy gives revisions out again. A watch continued at a revision of the lost history and never saw the changes below it. By the same cause a conditional write could replace content that its writer had not seen, restored content had the same version as lost content, and the outcome of a lost write was looked up in the wrong history.

Now a version consists of the era that the store reports and the revision. A position belongs to the era of the answer; a watch whose answer is of another era lists again. An object keeps the era of its write in its stored form, so a version identifies a content also after a restore. A write on condition of a version of another era checks it first, and a write that took effect in a later era than it names is repeated. The first watch after a failed call does not wait, so that a restore during an outage is noticed at once instead of after the wait. A store whose history is gone twice in a row is called again after a pause; before, the calls followed each other at once. A store without a readable era is served as before, and ends a watch if its revision went back.

Ruled out: late gossip, a change missing in the store, single lost events (postmortem).

Three tests of crates/emulator/tests/store.rs name versions of era 1 now. The one with a slow store reads first: a client that does not know the era reads before it writes, and a failed read would have ended that test before its write.

--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -13,7 +13,8 @@
 };
 use hawthorntide_membership::{BalancerMember, Health};
 use hawthorntide_store::{
-    ObjectKey, ObjectKind, ObjectStore, StoreError, StoredObject, WriteOutcome,
+    ObjectKey, ObjectKind, ObjectStore, StoreError, StoredObject, WatchCursor, WatchStep,
+    WriteOutcome,
 };
 use hawthorntide_types::{DurationMs, FailureDomain, NodeId, Phase, TimeMs, Version};
 use tokio::sync::mpsc;
@@ -244,45 +245,49 @@
     }
 }
 
-/// Watches the store until the task is aborted; lists it first and whenever the revision is no
-/// longer available.
+/// Watches the store until the task is aborted; lists it first and whenever the history of the
+/// position is no longer available.
 async fn watch(store: Arc<ObjectStore>, control: ControlHandle) {
-    let mut revision = None;
+    let mut cursor = WatchCursor::default();
     loop {
-        let step = match revision {
-            None => list_and_apply(&store, &control).await,
-            Some(from) => watch_once(&store, &control, from).await,
+        let step = cursor.next(WATCH_MS);
+        let result = match step {
+            WatchStep::List => list_and_apply(&store, &control).await,
+            WatchStep::Watch { from, wait_ms } => watch_once(&store, &control, from, wait_ms).await,
         };
-        match step {
-            Ok(next) => revision = Some(next),
-            Err(StoreError::RevisionGone) => revision = None,
-            Err(error) => {
-                log::warn!("platform: Watch failed and will be retried: {error}.");
-                let jitter = rand::random::<u64>() % RETRY_DELAY_MS;
-                sleep(Duration::from_millis(RETRY_DELAY_MS + jitter)).await;
+        match (step, result) {
+            (WatchStep::List, Ok(position)) => cursor.listed(position),
+            (WatchStep::Watch { .. }, Ok(position)) => cursor.watched(position),
+            (_, Err(error)) => {
+                log::warn!("platform: Watch failed: {error}.");
+                if cursor.failed(error) {
+                    let jitter = rand::random::<u64>() % RETRY_DELAY_MS;
+                    sleep(Duration::from_millis(RETRY_DELAY_MS + jitter)).await;
+                }
             }
         }
     }
 }
 
-/// Lists all objects and applies them; returns the revision from which a watch continues.
+/// Lists all objects and applies them; returns the position from which a watch continues.
 async fn list_and_apply(
     store: &ObjectStore,
     control: &ControlHandle,
 ) -> Result<Version, StoreError> {
     let listing = store.list().await?;
     apply(control, listing.objects).await;
-    Ok(listing.revision)
+    Ok(listing.position)
 }
 
 async fn watch_once(
     store: &ObjectStore,
     control: &ControlHandle,
     from: Version,
+    wait_ms: DurationMs,
 ) -> Result<Version, StoreError> {
-    let watched = store.watch(from, WATCH_MS).await?;
+    let watched = store.watch(from, wait_ms).await?;
     apply(control, watched.objects).await;
-    Ok(watched.revision)
+    Ok(watched.position)
 }
 
 /// Distributes profiles and services, and contacts the balancers listed in watcher slots.
--- a/crates/emulator/src/store/api.rs
+++ b/crates/emulator/src/store/api.rs
@@ -15,7 +15,7 @@
 use hawthorntide_store::{
     ConflictBody, MAX_VALUE_BYTES, PutBody, REVISION_GONE_STATUS, VersionBody, WatchBody,
 };
-use hawthorntide_types::{DurationMs, Version};
+use hawthorntide_types::{DurationMs, Revision};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep_until};
 
@@ -43,7 +43,7 @@
 
 #[derive(Debug, Deserialize)]
 struct WatchQuery {
-    from: Version,
+    from: Revision,
     wait_ms: DurationMs,
 }
 
@@ -112,7 +112,7 @@
     }
     let closer = ConnectionCloser::take_from(&mut state);
     let path = ObjectPath::take_from(&mut state);
-    let Some(expected) = expected_version(&state) else {
+    let Some(expected) = expected_revision(&state) else {
         return status(state, StatusCode::PRECONDITION_REQUIRED);
     };
     let body = Limited::new(Body::take_from(&mut state), MAX_BODY_BYTES);
@@ -137,7 +137,7 @@
         closer.close();
     }
     match result {
-        Ok(version) => json(state, StatusCode::OK, &VersionBody { version }),
+        Ok(revision) => json(state, StatusCode::OK, &VersionBody { revision }),
         Err(current) => json(state, StatusCode::CONFLICT, &ConflictBody { current }),
     }
 }
@@ -189,7 +189,7 @@
     shared.lock().admit_call(call, &faults)
 }
 
-fn expected_version(state: &State) -> Option<Version> {
+fn expected_revision(state: &State) -> Option<Revision> {
     let header = HeaderMap::borrow_from(state).get("if-match")?;
     header.to_str().ok()?.parse().ok()
 }
--- a/crates/emulator/src/store/fault.rs
+++ b/crates/emulator/src/store/fault.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Version};
+use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Revision};
 
 use super::state::{Shared, StoreCopy};
 
@@ -83,7 +83,7 @@
     }
 
     /// Current revision of the store.
-    pub fn revision(&self) -> Version {
+    pub fn revision(&self) -> Revision {
         self.shared.lock().revision
     }
 
--- a/crates/emulator/src/store/state.rs
+++ b/crates/emulator/src/store/state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hawthorntide_store::{ListBody, ObjectBody, WatchBody};
-use hawthorntide_types::Version;
+use hawthorntide_types::Revision;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
@@ -21,14 +21,14 @@
 pub(super) struct Shared {
     state: Mutex<State>,
     faults: watch::Sender<StoreFaults>,
-    revision_sender: watch::Sender<Version>,
+    revision_sender: watch::Sender<Revision>,
 }
 
 #[derive(Debug)]
 pub(super) struct State {
     /// Number of the history, from 1; a restore starts the next one.
     pub(super) era: u64,
-    pub(super) revision: Version,
+    pub(super) revision: Revision,
     pub(super) counts: CallCounts,
     pub(super) lose_next_answers: u32,
     /// Sorted by kind and name, for binary search.
@@ -43,7 +43,7 @@
 /// Copy of all objects and of the history of a store.
 #[derive(Clone, Debug)]
 pub struct StoreCopy {
-    revision: Version,
+    revision: Revision,
     objects: Vec<ObjectBody>,
     history: VecDeque<Change>,
 }
@@ -74,7 +74,7 @@
     pub(super) fn new(options: StoreServerOptions) -> Self {
         let state = State {
             era: 1,
-            revision: Version::NONE,
+            revision: Revision::NONE,
             counts: CallCounts::default(),
             lose_next_answers: 0,
             objects: Vec::new(),
@@ -87,7 +87,7 @@
         Self {
             state: Mutex::new(state),
             faults: watch::Sender::default(),
-            revision_sender: watch::Sender::new(Version::NONE),
+            revision_sender: watch::Sender::new(Revision::NONE),
         }
     }
 
@@ -107,7 +107,7 @@
         self.faults.subscribe()
     }
 
-    pub(super) fn watch_revision(&self) -> watch::Receiver<Version> {
+    pub(super) fn watch_revision(&self) -> watch::Receiver<Revision> {
         self.revision_sender.subscribe()
     }
 
@@ -178,25 +178,25 @@
         self.history.clone_from(&copy.history);
     }
 
-    /// Writes the value if the object's version is `expected`; otherwise returns the current
+    /// Writes the value if the object's revision is `expected`; otherwise returns the current
     /// object.
     pub(super) fn put(
         &mut self,
         kind: &str,
         name: &str,
         value: String,
-        expected: Version,
-    ) -> Result<Version, Option<ObjectBody>> {
+        expected: Revision,
+    ) -> Result<Revision, Option<ObjectBody>> {
         let position = self.position(kind, name);
         let current = position.ok().and_then(|index| self.objects.get(index));
-        if current.map_or(Version::NONE, |object| object.version) != expected {
+        if current.map_or(Revision::NONE, |object| object.revision) != expected {
             return Err(current.cloned());
         }
-        self.revision = Version(self.revision.get() + 1);
+        self.revision = Revision(self.revision.get() + 1);
         let object = ObjectBody {
             kind: kind.to_owned(),
             name: name.to_owned(),
-            version: self.revision,
+            revision: self.revision,
             value,
         };
         self.append_to_history(object.clone());
@@ -208,7 +208,7 @@
     }
 
     /// Returns the changes after `from` that are at least as old as the event delay.
-    pub(super) fn changes_after(&self, from: Version, faults: &StoreFaults) -> WatchOutcome {
+    pub(super) fn changes_after(&self, from: Revision, faults: &StoreFaults) -> WatchOutcome {
         let oldest = self.revision.get() - self.history.len() as u64;
         if from.get() < oldest || from > self.revision {
             return WatchOutcome::Gone;
@@ -223,7 +223,7 @@
         let events: Vec<ObjectBody> = after.map(|change| change.object.clone()).collect();
         if let Some(last) = events.last() {
             return WatchOutcome::Changes(WatchBody {
-                revision: last.version,
+                revision: last.revision,
                 events,
             });
         }
--- a/crates/emulator/tests/store.rs
+++ b/crates/emulator/tests/store.rs
@@ -8,7 +8,7 @@
     MAX_VALUE_BYTES, ObjectKey, ObjectKind, ObjectStore, StoreError, StoreOptions, WriteId,
     WriteOutcome,
 };
-use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Version};
+use hawthorntide_types::{DurationMs, PerMille, RatePerSecond, Revision, StoreEra, Version};
 use serde_json::json;
 
 const OPTIONS: StoreOptions = StoreOptions {
@@ -53,6 +53,11 @@
     ObjectKey::new(ObjectKind::Profile, name).unwrap()
 }
 
+/// Version of a revision in the first era of the store.
+fn version(revision: u64) -> Version {
+    Version::in_era(StoreEra(1), Revision(revision))
+}
+
 fn accepted(outcome: WriteOutcome) -> Version {
     let WriteOutcome::Accepted(version) = outcome else {
         panic!("expected an accepted write, got {outcome:?}");
@@ -132,11 +137,11 @@
     let s = setup();
     s.handle.lose_next_answers(1);
     let version = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
-    expect_that!(version, eq(s.handle.revision()));
+    expect_that!(version.revision(), eq(s.handle.revision()));
     s.handle.lose_next_answers(1);
     let version = accepted(s.store.delete_if(&key("a"), version).await);
-    expect_that!(version, eq(s.handle.revision()));
-    expect_that!(s.handle.revision(), eq(Version(2)));
+    expect_that!(version.revision(), eq(s.handle.revision()));
+    expect_that!(s.handle.revision(), eq(Revision(2)));
 }
 
 // Guards against reporting a write whose response was lost as a conflict after another client has
@@ -215,6 +220,8 @@
 #[tokio::test]
 async fn a_slow_store_leaves_the_outcome_open_until_it_is_queried() {
     let s = setup();
+    // A client that does not know the era of the store reads before it writes.
+    s.store.list().await.unwrap();
     s.handle.set_faults(StoreFaults {
         delay_ms: DurationMs(2000),
         ..StoreFaults::default()
@@ -234,7 +241,7 @@
     };
     expect_that!(ask().await, eq(&still_open));
     tokio::time::sleep(Duration::from_millis(1500)).await;
-    expect_that!(ask().await, eq(&WriteOutcome::Accepted(Version(1))));
+    expect_that!(ask().await, eq(&WriteOutcome::Accepted(version(1))));
 }
 
 // Guards against reporting a write as not accepted when its response is lost and the store goes
@@ -246,7 +253,7 @@
     s.handle.lose_next_answers(1);
     let handle = s.handle.clone();
     let outage = tokio::spawn(async move {
-        while handle.revision() == Version::NONE {
+        while handle.revision() == Revision::NONE {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         handle.set_faults(StoreFaults {
@@ -262,7 +269,7 @@
     s.handle.set_faults(StoreFaults::default());
     s.wait_until_down(false).await;
     let asked = s.store.outcome_of(&key("a"), Version::NONE, write_id).await;
-    expect_that!(asked, eq(&WriteOutcome::Accepted(Version(1))));
+    expect_that!(asked, eq(&WriteOutcome::Accepted(version(1))));
 }
 
 // Guards against wrong outcomes under random loss of responses: an accepted write must be in the
@@ -302,13 +309,13 @@
     let first = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
     let idle = s.store.watch(first, DurationMs(100)).await.unwrap();
     expect_that!(idle.objects, is_empty());
-    expect_that!(idle.revision, eq(first));
+    expect_that!(idle.position, eq(first));
     let other = ObjectStore::open(s.server.address(), OPTIONS).unwrap();
     let waiting = tokio::spawn(async move { other.watch(first, DurationMs(5000)).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
     let second = accepted(s.store.put_if(&key("b"), &json!(2), Version::NONE).await);
     let watched = waiting.await.unwrap().unwrap();
-    expect_that!(watched.revision, eq(second));
+    expect_that!(watched.position, eq(second));
     expect_that!(watched.objects[0].key, eq(&key("b")));
     expect_that!(s.handle.counts().watch, eq(2));
 }
@@ -325,11 +332,11 @@
     for name in ["a", "b", "c", "d"] {
         accepted(s.store.put_if(&key(name), &json!(1), Version::NONE).await);
     }
-    for from in [Version(1), Version(9)] {
+    for from in [version(1), version(9)] {
         let watched = s.store.watch(from, DurationMs(10)).await;
         expect_that!(watched, err(eq(&StoreError::RevisionGone)));
     }
-    let watched = s.store.watch(Version(2), DurationMs(10)).await.unwrap();
+    let watched = s.store.watch(version(2), DurationMs(10)).await.unwrap();
     expect_that!(watched.objects.len(), eq(2));
 }
 
@@ -352,7 +359,7 @@
     let version = accepted(s.store.put_if(&key("a"), &json!(1), Version::NONE).await);
     let start = Instant::now();
     let watched = s.store.watch(Version::NONE, DurationMs(2000)).await;
-    expect_that!(watched.unwrap().revision, eq(version));
+    expect_that!(watched.unwrap().position, eq(version));
     expect_that!(start.elapsed(), gt(Duration::from_millis(200)));
 }
 
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -8,7 +8,9 @@
 
 use hawthorntide_opaque::{Configuration, ConfigurationTask};
 use hawthorntide_platform::parse_configuration;
-use hawthorntide_store::{Collection, Freshness, ObjectBody, ObjectStore, StoreError};
+use hawthorntide_store::{
+    Collection, Freshness, ObjectBody, ObjectStore, StoreError, WatchCursor, WatchStep,
+};
 use hawthorntide_types::{DurationMs, Version};
 use tokio::time::sleep;
 
@@ -44,10 +46,9 @@
     task: impl Fn() -> ConfigurationTask,
     mut on_event: impl FnMut(ConfigurationEvent),
 ) {
-    let mut revision = None;
+    let mut cursor = WatchCursor::default();
     let mut has_configuration = false;
     let mut backoff = Backoff::new(recovery);
-    let mut is_interrupted = false;
     loop {
         let current_task = task();
         if current_task == ConfigurationTask::Idle && has_configuration {
@@ -61,27 +62,30 @@
             has_configuration = true;
             continue;
         }
-        let result = match (current_task, revision) {
-            (ConfigurationTask::Watch, Some(from)) => watch(&store, from, &mut on_event).await,
-            _ => list(&store, &mut on_event).await,
+        let step = match current_task {
+            ConfigurationTask::Watch => cursor.next(MAX_WATCH_WAIT_MS),
+            ConfigurationTask::FetchFrom(_) | ConfigurationTask::Idle => WatchStep::List,
+        };
+        let result = match step {
+            WatchStep::List => list(&store, &mut cursor, &mut on_event).await,
+            WatchStep::Watch { from, wait_ms } => {
+                watch(&store, from, wait_ms, &mut cursor, &mut on_event).await
+            }
         };
         match result {
-            Ok(reached) => {
-                if is_interrupted && let Some(from) = revision {
-                    log::info!(from:% = from, reached:% = reached; "relay: Watch of the configuration resumed.");
-                }
-                is_interrupted = false;
-                revision = Some(reached);
+            Ok(()) => {
                 has_configuration = true;
                 backoff.reset();
             }
             Err(StoreError::RevisionGone) => {
                 log::info!("relay: History of the store gone; listing the configuration again.");
-                revision = None;
+                if cursor.failed(StoreError::RevisionGone) {
+                    backoff.pause().await;
+                }
             }
             Err(error) => {
                 log::warn!("relay: Configuration not read: {error}.");
-                is_interrupted = true;
+                cursor.failed(error);
                 on_event(ConfigurationEvent::NotWatching);
                 // If another balancer has a newer configuration now, it has just failed to serve it.
                 if matches!(current_task, ConfigurationTask::FetchFrom(_)) {
@@ -134,30 +138,38 @@
 
 async fn list(
     store: &ObjectStore,
+    cursor: &mut WatchCursor,
     on_event: &mut impl FnMut(ConfigurationEvent),
-) -> Result<Version, StoreError> {
-    let page = store
+) -> Result<(), StoreError> {
+    let listing = store
         .list_collection(Collection::Configuration, Freshness::Current)
         .await?;
-    report_latest(&page.objects, on_event);
+    report_latest(&listing.objects, on_event);
     on_event(ConfigurationEvent::Current);
-    Ok(page.revision)
+    cursor.listed(listing.position);
+    Ok(())
 }
 
 async fn watch(
     store: &ObjectStore,
     from: Version,
+    wait_ms: DurationMs,
+    cursor: &mut WatchCursor,
     on_event: &mut impl FnMut(ConfigurationEvent),
-) -> Result<Version, StoreError> {
+) -> Result<(), StoreError> {
     let page = store
-        .watch_collection(Collection::Configuration, from, MAX_WATCH_WAIT_MS)
+        .watch_collection(Collection::Configuration, from, wait_ms)
         .await?;
     report_latest(&page.changes, on_event);
     on_event(ConfigurationEvent::Current);
+    if cursor.is_interrupted() {
+        log::info!(from:% = from, reached:% = page.position; "relay: Watch of the configuration resumed.");
+    }
+    cursor.watched(page.position);
     if !page.changes.is_empty() {
         sleep(DEBOUNCE_INTERVAL).await;
     }
-    Ok(page.revision)
+    Ok(())
 }
 
 fn report_latest(objects: &[ObjectBody], on_event: &mut impl FnMut(ConfigurationEvent)) {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,8 +8,8 @@
 
 use hawthorntide_opaque::Peer;
 use hawthorntide_store::{
-    Collection, Freshness, ListPage, ObjectKey, ObjectKind, ObjectStore, Removal, StoredObject,
-    WriteOutcome,
+    Collection, CollectionListing, Freshness, ObjectKey, ObjectKind, ObjectStore, Removal,
+    StoredObject, WriteOutcome,
 };
 use hawthorntide_types::{Incarnation, Version};
 use tokio::time::sleep;
@@ -72,7 +72,7 @@
         loop {
             let listed = self.store.list_collection(Collection::Own, freshness).await;
             let objects = match listed {
-                Ok(page) => objects(page),
+                Ok(listing) => objects(listing),
                 Err(error) => {
                     log::warn!("relay: Directory not read: {error}.");
                     backoff.pause().await;
@@ -166,8 +166,8 @@
     }
 }
 
-fn objects(page: ListPage) -> Vec<StoredObject> {
-    let objects = page.objects.into_iter();
+fn objects(listing: CollectionListing) -> Vec<StoredObject> {
+    let objects = listing.objects.into_iter();
     objects.filter_map(StoredObject::read).collect()
 }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use hawthorntide_types::{DurationMs, Version};
+use hawthorntide_types::{DurationMs, StoreEra, Version};
 use reqwest::header::CONTENT_TYPE;
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::budget::RetryBudget;
 use crate::dialect::{
-    Collection, Freshness, ListPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
+    Collection, CollectionChanges, CollectionListing, Freshness, ListPage, StoreDialect,
+    StoreMethod, StoreRequest,
 };
 use crate::era::EraObserver;
 use crate::object::{Listing, MAX_VALUE_BYTES, ObjectKey, StoredObject, WatchResult, WriteId};
@@ -93,8 +94,27 @@
     }
 }
 
+/// Answer of the store, and the era that it reports.
+struct Answer {
+    era: StoreEra,
+    response: Response,
+}
+
+/// Conditional write of an object.
+#[derive(Clone, Copy)]
+struct Put<'a> {
+    key: &'a ObjectKey,
+    /// `None` makes a tombstone.
+    value: Option<&'a serde_json::Value>,
+    write_id: &'a WriteId,
+    expected: Version,
+}
+
 enum PutResponse {
     Accepted(Version),
+    /// The write took effect in a later era than the one stored with the object, which this version
+    /// names.
+    AcceptedInOtherEra(Version),
     Conflict(Option<StoredObject>),
 }
 
@@ -122,6 +142,11 @@
         })
     }
 
+    /// Returns the era of the store that the last answer reported.
+    pub fn era(&self) -> StoreEra {
+        self.era.current()
+    }
+
     /// Reads an object; a deleted object is returned as a tombstone.
     pub async fn get(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError> {
         self.get_until(key, self.deadline()).await
@@ -133,30 +158,38 @@
             .list_collection(Collection::Own, Freshness::Current)
             .await?;
         Ok(Listing {
-            revision: page.revision,
+            position: page.position,
             objects: decode_known(page.objects),
         })
     }
 
     /// Reads all pages of a collection, without decoding the objects.
     ///
-    /// The revision is that of the first page, so that a watch from there does not miss changes
-    /// made between two pages.
+    /// The position is that of the first page, so that a watch from there does not miss changes
+    /// made between two pages. Fails with [`StoreError::RevisionGone`] if the store came back from a
+    /// copy between two pages.
     pub async fn list_collection(
         &self,
         collection: Collection,
         freshness: Freshness,
-    ) -> Result<ListPage, StoreError> {
+    ) -> Result<CollectionListing, StoreError> {
         let deadline = self.deadline();
-        let mut listing = self
+        let (era, mut page) = self
             .list_page(collection, None, freshness, deadline)
             .await?;
-        while let Some(after) = listing.next.take() {
-            let page = self
+        let mut listing = CollectionListing {
+            position: Version::in_era(era, page.revision),
+            objects: page.objects,
+        };
+        while let Some(after) = page.next.take() {
+            let (page_era, next) = self
                 .list_page(collection, Some(&after), freshness, deadline)
                 .await?;
-            listing.objects.extend(page.objects);
-            listing.next = page.next;
+            if page_era != era {
+                return Err(StoreError::RevisionGone);
+            }
+            listing.objects.extend(next.objects);
+            page.next = next.next;
         }
         Ok(listing)
     }
@@ -167,37 +200,53 @@
         after: Option<&str>,
         freshness: Freshness,
         deadline: Instant,
-    ) -> Result<ListPage, StoreError> {
+    ) -> Result<(StoreEra, ListPage), StoreError> {
         let call = self.dialect.list(collection, after, freshness);
-        let response = self
+        let answer = self
             .send_with_retries(|| self.request(&call), deadline)
             .await?;
-        let body = read_body(response, deadline).await?;
-        self.dialect.list_answer(collection, &body)
+        let era = answer.era;
+        let body = read_body(answer.response, deadline).await?;
+        Ok((era, self.dialect.list_answer(collection, &body)?))
     }
 
     /// Waits up to `wait` for changes after `from`. Not retried, because callers watch in a loop.
     pub async fn watch(&self, from: Version, wait: DurationMs) -> Result<WatchResult, StoreError> {
         let page = self.watch_collection(Collection::Own, from, wait).await?;
         Ok(WatchResult {
-            revision: page.revision,
+            position: page.position,
             objects: decode_known(page.changes),
         })
     }
 
     /// Like [`watch`](Self::watch), for a collection and without decoding the objects.
+    ///
+    /// Fails with [`StoreError::RevisionGone`] if `from` belongs to another era than the answer: the
+    /// store may have given out the revision again, and then reports only a part of the changes.
     pub async fn watch_collection(
         &self,
         collection: Collection,
         from: Version,
         wait: DurationMs,
-    ) -> Result<WatchPage, StoreError> {
-        let call = self.dialect.watch(collection, from, wait);
+    ) -> Result<CollectionChanges, StoreError> {
+        let call = self.dialect.watch(collection, from.revision(), wait);
         let margin = Duration::from_millis(wait.get().saturating_add(WATCH_MARGIN_MS));
         let deadline = Instant::now() + margin;
-        let response = self.send_expecting_ok(self.request(&call), deadline).await;
-        let body = read_body(response.map_err(AttemptError::store_error)?, deadline).await?;
-        self.dialect.watch_answer(collection, &body)
+        let answer = self.send_expecting_ok(self.request(&call), deadline).await;
+        let answer = answer.map_err(AttemptError::store_error)?;
+        let era = answer.era;
+        let body = read_body(answer.response, deadline).await?;
+        let page = self.dialect.watch_answer(collection, &body)?;
+        // Revisions go back without notice if the store does not report its era.
+        let is_same_history = era == from.era() && page.revision >= from.revision();
+        if from != Version::NONE && !is_same_history {
+            return Err(StoreError::RevisionGone);
+        }
+        Ok(CollectionChanges {
+            position: Version::in_era(era, page.revision),
+            changes: page.changes,
+            removed: page.removed,
+        })
     }
 
     /// Writes `value` if the object still has the version `expected`. `Version::NONE` creates it.
@@ -260,6 +309,10 @@
             .await
     }
 
+    /// Writes a value, or a tombstone for `None`.
+    ///
+    /// If the store came back from a copy just before the write, the stored object names the wrong
+    /// era; the write is then repeated.
     async fn write(
         &self,
         key: &ObjectKey,
@@ -270,33 +323,53 @@
         let deadline = self.deadline();
         // Reserves the time of one attempt for the check after a lost response.
         let write_deadline = deadline - Duration::from(self.options.attempt_ms);
-        let encoded = encode_value(value, &write_id);
-        if encoded.len() > MAX_VALUE_BYTES {
+        let size = encode_value(value, &write_id, StoreEra::MAX).len();
+        if size > MAX_VALUE_BYTES {
             return WriteOutcome::NotAccepted;
         }
         self.budget().deposit();
-        let mut has_lost_response = false;
+        // Start of the history that shows the outcome of a write whose response was lost.
+        let mut lost_since = None;
         for attempt in 0.. {
-            match self.put_once(key, &encoded, expected, write_deadline).await {
+            let before = Version::in_era(self.era(), expected.revision());
+            let put = Put {
+                key,
+                value,
+                write_id: &write_id,
+                expected,
+            };
+            match self.put_in_known_era(put, write_deadline).await {
                 Ok(PutResponse::Accepted(version)) => return WriteOutcome::Accepted(version),
+                Ok(PutResponse::AcceptedInOtherEra(version)) => {
+                    log::warn!(
+                        "store: Write {write_id} on {key} is repeated in the new era of the store."
+                    );
+                    lost_since = Some(version);
+                    expected = version;
+                }
                 Ok(PutResponse::Conflict(theirs)) => {
-                    if let Some(version) = version_written_by(theirs.as_ref(), &write_id) {
-                        return WriteOutcome::Accepted(version);
-                    }
-                    if let Some(tombstone) =
-                        replaceable_tombstone(theirs.as_ref(), expected, has_lost_response)
+                    let written = version_written_by(theirs.as_ref(), &write_id);
+                    if let Some(version) = written {
+                        if version.era() == self.era() {
+                            return WriteOutcome::Accepted(version);
+                        }
+                        expected = version;
+                    } else if let Some(tombstone) =
+                        replaceable_tombstone(theirs.as_ref(), expected, lost_since.is_some())
                     {
                         expected = tombstone;
                         continue;
-                    }
-                    if !has_lost_response {
+                    } else if let Some(since) = lost_since {
+                        return self
+                            .outcome_from_history(key, since, theirs, write_id, deadline)
+                            .await;
+                    } else {
                         return WriteOutcome::Conflict { theirs };
                     }
-                    return self
-                        .outcome_from_history(key, expected, theirs, write_id, deadline)
-                        .await;
                 }
-                Err(AttemptError::Ambiguous) => has_lost_response = true,
+                Err(AttemptError::Ambiguous) => {
+                    lost_since.get_or_insert(before);
+                }
                 Err(AttemptError::Refused(_)) => {}
                 Err(AttemptError::Final(_)) => break,
             }
@@ -304,12 +377,11 @@
                 break;
             }
         }
-        if has_lost_response {
-            return self
-                .check_lost_write(key, expected, write_id, deadline)
-                .await;
-        }
-        WriteOutcome::NotAccepted
+        let Some(since) = lost_since else {
+            return WriteOutcome::NotAccepted;
+        };
+        self.check_lost_write(key, expected, since, write_id, deadline)
+            .await
     }
 
     /// Checks whether a write whose response was lost took effect.
@@ -317,6 +389,7 @@
         &self,
         key: &ObjectKey,
         expected: Version,
+        since: Version,
         write_id: WriteId,
         deadline: Instant,
     ) -> WriteOutcome {
@@ -326,20 +399,20 @@
         if version_of(current.as_ref()) == expected {
             return WriteOutcome::Open { write_id };
         }
-        self.outcome_from_history(key, expected, current, write_id, deadline)
+        self.outcome_from_history(key, since, current, write_id, deadline)
             .await
     }
 
     /// Determines the outcome of a write after a lost response, if the object no longer has the
-    /// version `expected`.
+    /// version on which the write was based.
     ///
     /// The write id of the current version is not sufficient, because a later write may have
-    /// replaced the version that this write created. The history since `expected` is sufficient if
-    /// the store still has all of it.
+    /// replaced the version that this write created. The history `since` that version is sufficient
+    /// if the store still has all of it, and has not come back from a copy.
     async fn outcome_from_history(
         &self,
         key: &ObjectKey,
-        expected: Version,
+        since: Version,
         current: Option<StoredObject>,
         write_id: WriteId,
         deadline: Instant,
@@ -348,7 +421,7 @@
             return WriteOutcome::Accepted(version);
         }
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let history = timeout_at(deadline, self.watch(expected, DurationMs(0))).await;
+        let history = timeout_at(deadline, self.watch(since, DurationMs(0))).await;
         let Ok(Ok(history)) = history else {
             log::warn!(
                 "store: Outcome of write {write_id} on {key} is unknown; {remaining:?} were left before the deadline."
@@ -369,24 +442,48 @@
         WriteOutcome::Open { write_id }
     }
 
-    async fn put_once(
+    /// Writes an object, after a check of the condition if the era of the store may have changed
+    /// since the version `expected` was read. The store compares revisions only, and may have given
+    /// out the same one for other content.
+    async fn put_in_known_era(
         &self,
-        key: &ObjectKey,
-        encoded: &str,
-        expected: Version,
+        put: Put<'_>,
         deadline: Instant,
     ) -> Result<PutResponse, AttemptError> {
-        let call = self.dialect.write(key, encoded.to_owned(), expected);
+        let is_era_known = match put.expected {
+            Version::NONE => self.era.is_known(),
+            expected => expected.era() == self.era(),
+        };
+        if !is_era_known {
+            let current = self.get_once(put.key, deadline).await;
+            // Nothing was written yet.
+            let current = current.map_err(|error| AttemptError::Refused(error.store_error()))?;
+            if version_of(current.as_ref()) != put.expected {
+                return Ok(PutResponse::Conflict(current));
+            }
+        }
+        self.put_once(put, deadline).await
+    }
+
+    async fn put_once(&self, put: Put<'_>, deadline: Instant) -> Result<PutResponse, AttemptError> {
+        let era = self.era();
+        let encoded = encode_value(put.value, put.write_id, era);
+        let expected = put.expected.revision();
+        let call = self.dialect.write(put.key, encoded, expected);
         let deadline = self.attempt_deadline(deadline);
-        let response = self.send_once(self.request(&call), deadline).await?;
+        let answer = self.send_once(self.request(&call), deadline).await?;
+        let (answer_era, response) = (answer.era, answer.response);
         let status = response.status();
         if status.is_success() {
             let body = read_body(response, deadline).await;
             let body = body.map_err(|_| AttemptError::Ambiguous)?;
-            let version = self.dialect.write_answer(&body);
-            return Ok(PutResponse::Accepted(
-                version.map_err(|_| AttemptError::Ambiguous)?,
-            ));
+            let revision = self.dialect.write_answer(&body);
+            let revision = revision.map_err(|_| AttemptError::Ambiguous)?;
+            let version = Version::in_era(era, revision);
+            if answer_era != era {
+                return Ok(PutResponse::AcceptedInOtherEra(version));
+            }
+            return Ok(PutResponse::Accepted(version));
         }
         match status {
             StatusCode::CONFLICT => {
@@ -430,7 +527,8 @@
     ) -> Result<Option<StoredObject>, AttemptError> {
         let call = self.dialect.read(key);
         let deadline = self.attempt_deadline(deadline);
-        let response = self.send_once(self.request(&call), deadline).await?;
+        let answer = self.send_once(self.request(&call), deadline).await?;
+        let response = answer.response;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
             StatusCode::OK => {
@@ -451,14 +549,14 @@
         &self,
         request: impl Fn() -> RequestBuilder,
         deadline: Instant,
-    ) -> Result<Response, StoreError> {
+    ) -> Result<Answer, StoreError> {
         self.budget().deposit();
         for attempt in 0.. {
             match self
                 .send_expecting_ok(request(), self.attempt_deadline(deadline))
                 .await
             {
-                Ok(response) => return Ok(response),
+                Ok(answer) => return Ok(answer),
                 Err(AttemptError::Final(error)) => return Err(error),
                 Err(error) if !self.wait_for_retry(attempt, deadline).await => {
                     return Err(error.store_error());
@@ -491,25 +589,25 @@
         &self,
         request: RequestBuilder,
         deadline: Instant,
-    ) -> Result<Response, AttemptError> {
-        let response = self.send_once(request, deadline).await?;
-        if response.status() == StatusCode::OK {
-            return Ok(response);
+    ) -> Result<Answer, AttemptError> {
+        let answer = self.send_once(request, deadline).await?;
+        if answer.response.status() == StatusCode::OK {
+            return Ok(answer);
         }
-        Err(attempt_error(response.status()))
+        Err(attempt_error(answer.response.status()))
     }
 
     async fn send_once(
         &self,
         request: RequestBuilder,
         deadline: Instant,
-    ) -> Result<Response, AttemptError> {
+    ) -> Result<Answer, AttemptError> {
         match timeout_at(deadline, request.send()).await {
             Ok(Ok(response)) => {
                 count_call(response.status().as_u16().to_string());
-                self.era
-                    .observe(response.headers(), self.dialect.era_header());
-                Ok(response)
+                let headers = response.headers();
+                let era = self.era.observe(headers, self.dialect.era_header());
+                Ok(Answer { era, response })
             }
             // Without a connection, nothing was sent.
             Ok(Err(error)) if error.is_connect() => {
--- a/crates/store/src/client/removal.rs
+++ b/crates/store/src/client/removal.rs
@@ -17,7 +17,7 @@
         key: &ObjectKey,
         expected: Version,
     ) -> Result<Removal, StoreError> {
-        let Some(call) = self.dialect.remove(key, expected) else {
+        let Some(call) = self.dialect.remove(key, expected.revision()) else {
             return match self.delete_if(key, expected).await {
                 WriteOutcome::Accepted(_) => Ok(Removal::Gone),
                 WriteOutcome::Conflict { .. } => Ok(Removal::Changed),
@@ -28,6 +28,14 @@
         };
         let deadline = self.deadline();
         self.budget().deposit();
+        if expected.era() != self.era() {
+            let current = self.get_until(key, deadline).await?;
+            match current {
+                None => return Ok(Removal::Gone),
+                Some(current) if current.version != expected => return Ok(Removal::Changed),
+                Some(_) => {}
+            }
+        }
         for attempt in 0.. {
             match self.remove_once(&call, deadline).await {
                 Ok(removal) => return Ok(removal),
@@ -48,8 +56,8 @@
         deadline: Instant,
     ) -> Result<Removal, AttemptError> {
         let deadline = self.attempt_deadline(deadline);
-        let response = self.send_once(self.request(call), deadline).await?;
-        match response.status() {
+        let answer = self.send_once(self.request(call), deadline).await?;
+        match answer.response.status() {
             status if status.is_success() => Ok(Removal::Gone),
             StatusCode::NOT_FOUND => Ok(Removal::Gone),
             StatusCode::CONFLICT => Ok(Removal::Changed),
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Debug;
 
-use hawthorntide_types::{DurationMs, Version};
+use hawthorntide_types::{DurationMs, Revision, Version};
 
 use crate::client::StoreError;
 use crate::object::ObjectKey;
@@ -41,8 +41,8 @@
     pub method: StoreMethod,
     /// Path and query.
     pub path: String,
-    /// Version that the object must have; sent in the `If-Match` header.
-    pub if_match: Option<Version>,
+    /// Revision that the object must have; sent in the `If-Match` header.
+    pub if_match: Option<Revision>,
     /// JSON body.
     pub body: Option<String>,
 }
@@ -58,21 +58,40 @@
     }
 }
 
-/// One page of a listing.
+/// Objects of a collection.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CollectionListing {
+    /// Version from which a watch continues.
+    pub position: Version,
+    pub objects: Vec<ObjectBody>,
+}
+
+/// Changes of a collection.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CollectionChanges {
+    /// Version from which the next watch continues.
+    pub position: Version,
+    /// Changes in the order in which they were made.
+    pub changes: Vec<ObjectBody>,
+    /// Names of objects that no longer exist.
+    pub removed: Vec<String>,
+}
+
+/// One page of a listing, as a store answers it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ListPage {
     /// Revision of the store.
-    pub revision: Version,
+    pub revision: Revision,
     pub objects: Vec<ObjectBody>,
     /// Cursor of the next page; `None` on the last page.
     pub next: Option<String>,
 }
 
-/// Answer to one watch call.
+/// Answer of a store to one watch call.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WatchPage {
     /// Revision from which the next watch continues.
-    pub revision: Version,
+    pub revision: Revision,
     /// Changes in the order in which they were made.
     pub changes: Vec<ObjectBody>,
     /// Names of objects that no longer exist.
@@ -98,16 +117,16 @@
     ) -> StoreRequest;
 
     /// Request that waits up to `wait` for changes of a collection after the revision `from`.
-    fn watch(&self, collection: Collection, from: Version, wait: DurationMs) -> StoreRequest;
+    fn watch(&self, collection: Collection, from: Revision, wait: DurationMs) -> StoreRequest;
 
     fn read(&self, key: &ObjectKey) -> StoreRequest;
 
-    /// Request that writes an object if it has the version `expected`.
-    fn write(&self, key: &ObjectKey, value: String, expected: Version) -> StoreRequest;
+    /// Request that writes an object if it has the revision `expected`.
+    fn write(&self, key: &ObjectKey, value: String, expected: Revision) -> StoreRequest;
 
-    /// Request that removes an object, without a tombstone, if it has the version `expected`. `None`
+    /// Request that removes an object, without a tombstone, if it has the revision `expected`. `None`
     /// if the store cannot do this.
-    fn remove(&self, key: &ObjectKey, expected: Version) -> Option<StoreRequest>;
+    fn remove(&self, key: &ObjectKey, expected: Revision) -> Option<StoreRequest>;
 
     fn list_answer(&self, collection: Collection, body: &[u8]) -> Result<ListPage, StoreError>;
 
@@ -115,8 +134,8 @@
 
     fn read_answer(&self, body: &[u8]) -> Result<ObjectBody, StoreError>;
 
-    /// Returns the new version from the answer to a write that took effect.
-    fn write_answer(&self, body: &[u8]) -> Result<Version, StoreError>;
+    /// Returns the new revision from the answer to a write that took effect.
+    fn write_answer(&self, body: &[u8]) -> Result<Revision, StoreError>;
 
     /// Returns the current object from the answer to a write whose condition does not hold; `None`
     /// if the object does not exist.
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -12,6 +12,15 @@
 }
 
 impl EraObserver {
+    pub(crate) fn current(&self) -> StoreEra {
+        self.era.borrow().unwrap_or_default()
+    }
+
+    /// Returns whether the store has answered a call.
+    pub(crate) fn is_known(&self) -> bool {
+        self.era.borrow().is_some()
+    }
+
     /// Returns the era that an answer reports in the header `name`. An answer that reports none
     /// counts to the last known one.
     pub(crate) fn observe(&self, headers: &HeaderMap, name: &str) -> StoreEra {
@@ -39,6 +48,7 @@
 fn read_era(headers: &HeaderMap, name: &str) -> Option<StoreEra> {
     let value = headers.get(name)?;
     let era = value.to_str().ok().and_then(|text| text.parse().ok());
+    let era = era.filter(|era| *era <= StoreEra::MAX);
     if era.is_none() {
         log::warn!("store: Malformed era {value:?} in an answer of the store ignored.");
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod client;
+mod cursor;
 mod dialect;
 mod era;
 mod object;
@@ -9,8 +10,10 @@
 mod write;
 
 pub use client::{ObjectStore, StoreError, StoreOptions};
+pub use cursor::{WatchCursor, WatchStep};
 pub use dialect::{
-    Collection, Freshness, ListPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
+    Collection, CollectionChanges, CollectionListing, Freshness, ListPage, StoreDialect,
+    StoreMethod, StoreRequest, WatchPage,
 };
 pub use object::{
     Listing, MAX_VALUE_BYTES, ObjectKey, ObjectKind, StoredObject, WatchResult, WriteId,
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -146,8 +146,8 @@
 /// All objects of the load balancer at one revision of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Listing {
-    /// Revision from which to watch for later changes.
-    pub revision: Version,
+    /// Version from which to watch for later changes.
+    pub position: Version,
     /// Includes tombstones.
     pub objects: Vec<StoredObject>,
 }
@@ -155,8 +155,8 @@
 /// Answer to a watch.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WatchResult {
-    /// Revision from which the next watch continues.
-    pub revision: Version,
+    /// Version from which the next watch continues.
+    pub position: Version,
     /// Changed objects in the order of the changes; empty if nothing changed during the wait.
     pub objects: Vec<StoredObject>,
 }
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -7,7 +7,7 @@
 //! The store may come back from a copy that is some seconds old. It then has lost the changes since, and
 //! gives out their revisions again. The header `Store-Era` of every answer rises by one each time.
 
-use hawthorntide_types::{DurationMs, ParseValueError, Version};
+use hawthorntide_types::{DurationMs, ParseValueError, Revision, StoreEra, Version};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -28,7 +28,8 @@
 pub struct ObjectBody {
     pub kind: String,
     pub name: String,
-    pub version: Version,
+    #[serde(rename = "version")]
+    pub revision: Revision,
     /// Opaque to the store.
     pub value: String,
 }
@@ -36,7 +37,7 @@
 /// Answer to a listing.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ListBody {
-    pub revision: Version,
+    pub revision: Revision,
     /// Sorted by kind and name.
     pub objects: Vec<ObjectBody>,
 }
@@ -45,7 +46,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WatchBody {
     /// Revision from which the next watch continues.
-    pub revision: Version,
+    pub revision: Revision,
     /// Changes in the order in which they were made.
     pub events: Vec<ObjectBody>,
 }
@@ -59,8 +60,9 @@
 /// Answer to a write that took effect.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VersionBody {
-    /// New version of the object.
-    pub version: Version,
+    /// New revision of the object.
+    #[serde(rename = "version")]
+    pub revision: Revision,
 }
 
 /// Answer to a write whose condition does not hold.
@@ -70,10 +72,14 @@
     pub current: Option<ObjectBody>,
 }
 
-/// Stored form of a value, with the id of the write that created it.
+/// Stored form of a value, with the id and the era of the write that created it. An object keeps the
+/// era when the store comes back from a copy, so that era and revision identify its content.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Envelope {
     write_id: WriteId,
+    /// Absent in objects of earlier builds.
+    #[serde(default)]
+    era: StoreEra,
     #[serde(default)]
     deleted: bool,
     value: serde_json::Value,
@@ -93,7 +99,7 @@
         StoreRequest::get(list_path().to_owned())
     }
 
-    fn watch(&self, _: Collection, from: Version, wait: DurationMs) -> StoreRequest {
+    fn watch(&self, _: Collection, from: Revision, wait: DurationMs) -> StoreRequest {
         StoreRequest::get(watch_path(from, wait))
     }
 
@@ -101,7 +107,7 @@
         StoreRequest::get(object_path(key))
     }
 
-    fn write(&self, key: &ObjectKey, value: String, expected: Version) -> StoreRequest {
+    fn write(&self, key: &ObjectKey, value: String, expected: Revision) -> StoreRequest {
         StoreRequest {
             method: StoreMethod::Put,
             path: object_path(key),
@@ -111,7 +117,7 @@
     }
 
     /// Not supported: every deletion leaves a tombstone, so that watches report it.
-    fn remove(&self, _: &ObjectKey, _: Version) -> Option<StoreRequest> {
+    fn remove(&self, _: &ObjectKey, _: Revision) -> Option<StoreRequest> {
         None
     }
 
@@ -137,9 +143,9 @@
         parse(body)
     }
 
-    fn write_answer(&self, body: &[u8]) -> Result<Version, StoreError> {
+    fn write_answer(&self, body: &[u8]) -> Result<Revision, StoreError> {
         let body: VersionBody = parse(body)?;
-        Ok(body.version)
+        Ok(body.revision)
     }
 
     fn conflict_answer(&self, body: &[u8]) -> Result<Option<ObjectBody>, StoreError> {
@@ -160,14 +166,19 @@
     format!("/v1/objects/{}/{}", key.kind, key.name)
 }
 
-pub fn watch_path(from: Version, wait: DurationMs) -> String {
+pub fn watch_path(from: Revision, wait: DurationMs) -> String {
     format!("/v1/watch?from={from}&wait_ms={wait}")
 }
 
 /// Encodes `value` in an envelope; `None` makes a tombstone.
-pub(crate) fn encode_value(value: Option<&serde_json::Value>, write_id: &WriteId) -> String {
+pub(crate) fn encode_value(
+    value: Option<&serde_json::Value>,
+    write_id: &WriteId,
+    era: StoreEra,
+) -> String {
     let envelope = Envelope {
         write_id: write_id.clone(),
+        era,
         deleted: value.is_none(),
         value: value.cloned().unwrap_or_default(),
     };
@@ -179,18 +190,17 @@
 pub(crate) fn decode_object(body: ObjectBody) -> Result<StoredObject, ParseValueError> {
     let kind: ObjectKind = body.kind.parse()?;
     let key = ObjectKey::new(kind, &body.name)?;
-    let version = body.version;
     let object = match serde_json::from_str::<Envelope>(&body.value) {
         Ok(envelope) => StoredObject {
             key,
-            version,
+            version: Version::in_era(envelope.era, body.revision),
             write_id: Some(envelope.write_id),
             is_deleted: envelope.deleted,
             value: envelope.value,
         },
         Err(_) => StoredObject {
             key,
-            version,
+            version: Version::in_era(StoreEra::default(), body.revision),
             write_id: None,
             is_deleted: false,
             value: serde_json::Value::String(body.value),
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -21,9 +21,16 @@
     Incarnation(u64)
 }
 number! {
-    /// Version of an object, assigned by the platform store to each write; higher is newer.
+    /// Version of an object or of a listing: the era of the platform store and its revision; higher is newer.
+    ///
+    /// Revisions alone do not order versions, since a store that comes back from a copy gives them out again.
+    /// The low 40 bits hold the revision and the next 13 the era, so that a version is exact as a JSON number.
     Version(u64)
 }
+number! {
+    /// Revision of the platform store or of one of its objects. Comparable within one era only.
+    Revision(u64)
+}
 number! {
     /// Version that the operator gives to a configuration of opaque flows; higher is newer.
     ConfigurationVersion(u64)
@@ -62,6 +69,9 @@
     Region
 }
 
+const REVISION_BITS: u32 = 40;
+const ERA_BITS: u32 = 13;
+
 /// A connection identifier has room for six bytes of endpoint identifier.
 const ENDPOINT_ID_BITS: u32 = 48;
 
@@ -92,7 +102,44 @@
     pub const NONE: Self = Self(0);
 }
 
+impl StoreEra {
+    /// Highest era that a version can hold.
+    pub const MAX: Self = Self((1 << ERA_BITS) - 1);
+}
+
+impl Revision {
+    /// Stands for an object that does not exist; every stored revision is higher.
+    pub const NONE: Self = Self(0);
+    /// Highest revision that a version can hold.
+    pub const MAX: Self = Self((1 << REVISION_BITS) - 1);
+}
+
 impl Version {
     /// Stands for an object that does not exist; every stored version is higher.
     pub const NONE: Self = Self(0);
+
+    /// Returns the version of `revision` in `era`. Eras and revisions above their maximum count as the maximum.
+    pub const fn in_era(era: StoreEra, revision: Revision) -> Self {
+        let era = if era.0 > StoreEra::MAX.0 {
+            StoreEra::MAX.0
+        } else {
+            era.0
+        };
+        let revision = if revision.0 > Revision::MAX.0 {
+            Revision::MAX.0
+        } else {
+            revision.0
+        };
+        Self((era << REVISION_BITS) | revision)
+    }
+
+    /// Returns the era of the store.
+    pub const fn era(self) -> StoreEra {
+        StoreEra(self.0 >> REVISION_BITS)
+    }
+
+    /// Returns the revision within the era.
+    pub const fn revision(self) -> Revision {
+        Revision(self.0 & Revision::MAX.0)
+    }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,7 +12,7 @@
 pub use code::{Ran, ResultCode, Retry};
 pub use identifier::{
     ConfigurationVersion, EndpointId, Epoch, FailureDomain, Incarnation, NodeId, ProfileName,
-    Region, Sequence, ServiceId, ServiceName, SessionId, StoreEra, Version,
+    Region, Revision, Sequence, ServiceId, ServiceName, SessionId, StoreEra, Version,
 };
 pub use newtype::ParseValueError;
 pub use profile::{Profile, ProfileProblem, Treatment, Urgency, WorkKind, WorkProfile};
