Refuse no flow of an unknown route while another balancer is ahead

Callers of an added route got a reset from a balancer that knew of a newer version at another balancer, because its own watch had just been answered without a change: after a restored store such an answer may miss changes.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -213,7 +213,8 @@
         let is_confirmed = self
             .routes_confirmed_at
             .is_some_and(|confirmed| now.since(confirmed) <= ROUTES_CURRENT_FOR_MS);
-        is_confirmed || (self.watchers(now).next().is_some() && !self.is_behind(now))
+        // An answer of the store confirms nothing if it missed a change that another balancer has.
+        !self.is_behind(now) && (is_confirmed || self.watchers(now).next().is_some())
     }
 
     /// Caches which agent owns a flow. A full cache accepts no further flows.
