Fetch a version of the routes that the own watch missed

A balancer with a watch left it at that, even while gossip told it for seconds that another balancer had a newer version; callers of an added route got no answer there. It now gives its watch 0.5 s to report a change that another balancer has, then fetches the version from that balancer and lists the store again; 2.5 s if the fetch brought nothing newer. So a watch that misses a change, for whatever reason, no longer leaves a balancer behind.

--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -101,7 +101,11 @@
         tasks.spawn(Arc::clone(&shared).receive_packets());
         tasks.spawn(Arc::clone(&shared).receive_messages());
         tasks.spawn(Arc::clone(&shared).run_gossip());
-        let (task_source, event_target) = (Arc::clone(&shared), Arc::clone(&shared));
+        let (task_source, peer_source, event_target) = (
+            Arc::clone(&shared),
+            Arc::clone(&shared),
+            Arc::clone(&shared),
+        );
         tasks.spawn(follow_configuration(
             Arc::clone(&store),
             recovery.clone(),
@@ -111,6 +115,11 @@
                     .machine()
                     .configuration_task(task_source.clock.now())
             },
+            move || {
+                peer_source
+                    .machine()
+                    .latest_balancer(peer_source.clock.now())
+            },
             move |event| event_target.handle_configuration_event(event),
         ));
         if let Some(directory) = Directory::new(store, &local_peer, recovery) {
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -24,6 +24,14 @@
 /// Pause after a change, so that a burst of changes costs few calls.
 const DEBOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time in which a watch reports a change that another balancer has read: the pause after an earlier
+/// change and a margin.
+const MAX_WATCH_LAG: Duration = Duration::from_millis(500);
+
+/// Replaces `MAX_WATCH_LAG` after a fetch that brought nothing newer, so that a wrong announcement of
+/// another balancer causes few calls.
+const RETRY_LAG: Duration = Duration::from_millis(2_500);
+
 /// Interval at which the current task is polled; gossip changes it without notice.
 const TASK_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -38,17 +46,19 @@
 }
 
 /// Keeps the configuration up to date: performs the current `task` in a loop and passes the results
-/// to `on_event`.
+/// to `on_event`. `newer_peer` returns a balancer with a newer configuration.
 pub(crate) async fn follow_configuration(
     store: Arc<ObjectStore>,
     recovery: StoreRecovery,
     peers: ConfigurationClient,
     task: impl Fn() -> ConfigurationTask,
+    newer_peer: impl Fn() -> Option<SocketAddr>,
     mut on_event: impl FnMut(ConfigurationEvent),
 ) {
     let mut cursor = WatchCursor::default();
     let mut has_configuration = false;
     let mut backoff = Backoff::new(recovery);
+    let mut watch_lag = MAX_WATCH_LAG;
     loop {
         let current_task = task();
         if current_task == ConfigurationTask::Idle && has_configuration {
@@ -60,6 +70,9 @@
             && fetch_from_peer(&peers, peer, &mut on_event).await
         {
             has_configuration = true;
+            on_event(ConfigurationEvent::NotWatching);
+            // A restarted peer may serve an older version than gossip announced; do not retry at once.
+            sleep(TASK_POLL_INTERVAL).await;
             continue;
         }
         let step = match current_task {
@@ -68,9 +81,16 @@
         };
         let result = match step {
             WatchStep::List => list(&store, &mut cursor, &mut on_event).await,
-            WatchStep::Watch { from, wait_ms } => {
-                watch(&store, from, wait_ms, &mut cursor, &mut on_event).await
-            }
+            WatchStep::Watch { from, wait_ms } => tokio::select! {
+                result = watch(&store, from, wait_ms, &mut cursor, &mut on_event) => result,
+                peer = wait_for_missed_change(&newer_peer, watch_lag) => {
+                    log::warn!(peer:% = peer, from:% = from; "relay: The watch missed a change of the configuration that another balancer has.");
+                    fetch_from_peer(&peers, peer, &mut on_event).await;
+                    cursor.restart();
+                    watch_lag = if newer_peer().is_some() { RETRY_LAG } else { MAX_WATCH_LAG };
+                    continue;
+                }
+            },
         };
         match result {
             Ok(()) => {
@@ -111,9 +131,6 @@
         Ok(configuration) => {
             log::info!(peer:% = peer, version:% = configuration.version; "relay: Configuration fetched from another balancer.");
             on_event(ConfigurationEvent::Read(configuration));
-            on_event(ConfigurationEvent::NotWatching);
-            // A restarted peer may serve an older version than gossip announced; do not retry at once.
-            sleep(TASK_POLL_INTERVAL).await;
             true
         }
         Err(error) => {
@@ -136,6 +153,23 @@
     }
 }
 
+/// Waits until another balancer has had a newer configuration for `watch_lag`, in which the watch should
+/// have reported it.
+async fn wait_for_missed_change(
+    newer_peer: &impl Fn() -> Option<SocketAddr>,
+    watch_lag: Duration,
+) -> SocketAddr {
+    loop {
+        while newer_peer().is_none() {
+            sleep(TASK_POLL_INTERVAL).await;
+        }
+        sleep(watch_lag).await;
+        if let Some(peer) = newer_peer() {
+            return peer;
+        }
+    }
+}
+
 async fn list(
     store: &ObjectStore,
     cursor: &mut WatchCursor,
