Write directory entries and flow records again after a restore

A process wrote its directory entry once and its flow record when it changed. A store that comes back from a copy may have lost both; nobody noticed, until a loss of all memory: then others did not know an agent, and callers of flows that had ended got no reset.

A process now wakes when the era of the store changes, lists the directory and writes its entry again; a random delay keeps all processes together below 100 writes a second. Any listing without the own entry has the same effect. A record is written again if its version is of another era, and a conflict of the record costs one more write instead of one interval. An agent that leaves ends these tasks before it removes its objects; they would write them again.

--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -18,7 +18,7 @@
 use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{interval, sleep, timeout};
 
 use crate::backoff::StoreRecovery;
@@ -72,6 +72,8 @@
     shared: Arc<Shared>,
     local_peer: Peer,
     store: Arc<ObjectStore>,
+    /// Tasks that write objects of this agent into the platform store.
+    writers: Vec<AbortHandle>,
     _http_servers: Vec<HttpServer>,
     _tasks: JoinSet<()>,
 }
@@ -147,6 +149,7 @@
         }
         let recovery = shared.recovery.clone();
         let mut tasks = JoinSet::new();
+        let mut writers = Vec::new();
         tasks.spawn(Arc::clone(&shared).receive_upstream_packets());
         tasks.spawn(Arc::clone(&shared).receive_messages());
         tasks.spawn(Arc::clone(&shared).run_gossip());
@@ -154,7 +157,8 @@
         tasks.spawn(Arc::clone(&shared).probe_upstream());
         if let Some(directory) = Directory::new(Arc::clone(&store), &local_peer, recovery.clone()) {
             let shared = Arc::clone(&shared);
-            tasks.spawn(directory.run(move |event| shared.handle_directory_event(event)));
+            let run = directory.run(move |event| shared.handle_directory_event(event));
+            writers.push(tasks.spawn(run));
         }
         if let Some(key) = object_key(ObjectKind::FlowRecord, &local_peer) {
             let recorder = FlowRecorder::new(Arc::clone(&store), key, recovery);
@@ -163,16 +167,18 @@
                 Arc::clone(&shared),
                 Arc::clone(&shared),
             );
-            tasks.spawn(recorder.run(
+            let run = recorder.run(
                 move |record| reader.handle(AgentEvent::RecordRead(record), &mut [], None),
                 move || writer.machine().record(),
                 move || timer.machine().record_interval_ms(timer.clock.now()),
-            ));
+            );
+            writers.push(tasks.spawn(run));
         }
         Ok(Self {
             shared,
             local_peer,
             store,
+            writers,
             _http_servers: http_servers,
             _tasks: tasks,
         })
@@ -199,6 +205,10 @@
     }
 
     async fn remove_objects(&self) {
+        // Otherwise they would write the removed objects again.
+        for writer in &self.writers {
+            writer.abort();
+        }
         for kind in [ObjectKind::Directory, ObjectKind::FlowRecord] {
             if let Some(key) = object_key(kind, &self.local_peer) {
                 remove_object(&self.store, &key).await;
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -1,18 +1,19 @@
 //! Directory of processes in the platform store.
 //!
-//! Each process writes its entry once and then lists the directory again, so that of two processes
-//! that start at the same time, at least one sees the other.
+//! Each process writes its entry and then lists the directory again, so that of two processes that
+//! start at the same time, at least one sees the other. When the store comes back from a copy, each
+//! process writes its entry again: the copy may lack it.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use hawthorntide_opaque::Peer;
 use hawthorntide_store::{
-    Collection, CollectionListing, Freshness, ObjectKey, ObjectKind, ObjectStore, Removal,
-    StoredObject, WriteOutcome,
+    Collection, CollectionListing, EraReceiver, Freshness, ObjectKey, ObjectKind, ObjectStore,
+    Removal, StoredObject, WriteOutcome,
 };
-use hawthorntide_types::{Incarnation, Version};
-use tokio::time::sleep;
+use hawthorntide_types::{Incarnation, StoreEra, Version};
+use tokio::time::{sleep, timeout};
 
 use crate::backoff::{Backoff, StoreRecovery};
 
@@ -23,6 +24,10 @@
 /// grow with the deployment.
 const REFRESHES_PER_SECOND: u32 = 8;
 
+/// Registrations per second of all processes together after the store came back from a copy: a quarter
+/// of the writes that the smallest store accepts.
+const REGISTRATIONS_PER_SECOND: u32 = 100;
+
 #[derive(Clone, Debug)]
 pub(crate) enum DirectoryEvent {
     /// The directory contains the entry of this process.
@@ -63,16 +68,17 @@
         })
     }
 
-    /// Lists the directory periodically and registers the process after the first listing, unless its
-    /// entry exists.
+    /// Lists the directory periodically. Registers the process after the first listing, unless its
+    /// entry exists, and whenever the entry is missing or of an earlier era of the store.
     pub(crate) async fn run(self, mut on_event: impl FnMut(DirectoryEvent)) {
         let mut is_registered = false;
         let mut freshness = Freshness::Current;
         let mut backoff = Backoff::new(self.recovery.clone());
+        let mut era = self.store.watch_era();
         loop {
             let listed = self.store.list_collection(Collection::Own, freshness).await;
-            let objects = match listed {
-                Ok(listing) => objects(listing),
+            let listing = match listed {
+                Ok(listing) => listing,
                 Err(error) => {
                     log::warn!("relay: Directory not read: {error}.");
                     backoff.pause().await;
@@ -80,29 +86,32 @@
                 }
             };
             backoff.reset();
-            let local_object = objects.iter().find(|object| object.key == self.key);
-            let local_object = local_object.cloned();
-            let peers = peers(objects);
-            let refresh_interval = refresh_interval(peers.len());
+            let listed_era = listing.position.era();
+            let entries = entries(listing);
+            let local_entry = entries.iter().find(|entry| entry.key == self.key).cloned();
+            let is_known = local_entry.as_ref().is_some_and(|it| self.is_current(it));
+            let is_in_place = local_entry.as_ref().is_some_and(|it| self.is_in_place(it));
+            let peers = peers(entries);
+            let processes = peers.len();
             on_event(DirectoryEvent::Listed(peers));
-            if is_registered {
-                freshness = Freshness::MayBeStale;
-                sleep(refresh_interval).await;
+            if !is_in_place && freshness == Freshness::MayBeStale {
+                freshness = Freshness::Current;
                 continue;
             }
-            is_registered = true;
-            let was_known = local_object
-                .as_ref()
-                .is_some_and(|object| self.is_current(object));
-            if !was_known {
-                self.register(local_object).await;
+            if !is_in_place {
+                self.register(local_entry).await;
             }
-            log::info!(key:% = self.key, was_known; "relay: Directory entry in place.");
-            on_event(DirectoryEvent::Registered { was_known });
-            if was_known {
-                freshness = Freshness::MayBeStale;
-                sleep(refresh_interval).await;
+            if !is_registered {
+                is_registered = true;
+                log::info!(key:% = self.key, was_known = is_known; "relay: Directory entry in place.");
+                on_event(DirectoryEvent::Registered {
+                    was_known: is_known,
+                });
+                if !is_known {
+                    continue;
+                }
             }
+            freshness = pause(processes, &mut era, listed_era).await;
         }
     }
 
@@ -125,15 +134,33 @@
             if let Ok(current) = self.store.get(&self.key).await {
                 existing = current;
             }
-            if existing.as_ref().is_some_and(|it| self.is_current(it)) {
+            if existing.as_ref().is_some_and(|it| self.is_in_place(it)) {
                 return;
             }
         }
     }
 
+    /// Returns whether the object is the entry of this process.
     fn is_current(&self, object: &StoredObject) -> bool {
         !object.is_deleted && object.value == self.entry
     }
+
+    /// Returns whether the object is the entry of this process and was written in the present era.
+    fn is_in_place(&self, object: &StoredObject) -> bool {
+        self.is_current(object) && object.version.era() == self.store.era()
+    }
+}
+
+/// Waits for the next listing; returns its freshness. A change of the era ends the wait, with a delay
+/// that spreads the registrations of all `processes`.
+async fn pause(processes: usize, era: &mut EraReceiver, listed_era: StoreEra) -> Freshness {
+    let changed = era.wait_for(|era| *era != Some(listed_era));
+    if timeout(refresh_interval(processes), changed).await.is_err() {
+        return Freshness::MayBeStale;
+    }
+    let longest = Duration::from_secs(processes as u64) / REGISTRATIONS_PER_SECOND;
+    sleep(longest.mul_f64(rand::random())).await;
+    Freshness::Current
 }
 
 /// Returns the time between two listings by one of `processes` processes.
@@ -166,16 +193,17 @@
     }
 }
 
-fn objects(listing: CollectionListing) -> Vec<StoredObject> {
-    let objects = listing.objects.into_iter();
-    objects.filter_map(StoredObject::read).collect()
+/// Decodes the directory entries of a listing.
+fn entries(listing: CollectionListing) -> Vec<StoredObject> {
+    let objects = listing.objects.into_iter().filter_map(StoredObject::read);
+    objects
+        .filter(|object| object.key.kind == ObjectKind::Directory && !object.is_deleted)
+        .collect()
 }
 
-fn peers(objects: Vec<StoredObject>) -> Vec<Peer> {
-    let entries = objects
-        .into_iter()
-        .filter(|object| object.key.kind == ObjectKind::Directory && !object.is_deleted);
-    entries
-        .filter_map(|object| serde_json::from_value(object.value).ok())
+fn peers(entries: Vec<StoredObject>) -> Vec<Peer> {
+    let values = entries.into_iter().map(|entry| entry.value);
+    values
+        .filter_map(|value| serde_json::from_value(value).ok())
         .collect()
 }
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -9,6 +9,9 @@
 
 use crate::backoff::{Backoff, StoreRecovery};
 
+/// Writes of a record in one interval: one more after a conflict.
+const MAX_WRITES: usize = 2;
+
 #[derive(Clone, Debug)]
 pub(crate) struct FlowRecorder {
     store: Arc<ObjectStore>,
@@ -30,7 +33,7 @@
     }
 
     /// Passes the record of the agent's previous incarnation to `on_record`, then writes the current
-    /// record at every interval if it changed.
+    /// record at every interval if it changed, or if the store came back from a copy since.
     pub(crate) async fn run(
         self,
         on_record: impl Fn(Option<FlowRecord>),
@@ -50,9 +53,9 @@
             let Some(record) = record() else {
                 continue;
             };
-            if last_written.as_ref() != Some(&record)
-                && self.write_record(&record, &mut version).await
-            {
+            let is_stored =
+                last_written.as_ref() == Some(&record) && version.era() == self.store.era();
+            if !is_stored && self.write_record(&record, &mut version).await {
                 last_written = Some(record);
             }
         }
@@ -75,8 +78,8 @@
         }
     }
 
-    /// Writes the record if the object still has `version`, and updates `version` to that of the
-    /// object; returns whether the record was written.
+    /// Writes the record if the object has `version`, or else the version that it has instead: no
+    /// other process writes it. Updates `version`; returns whether the record was written.
     async fn write_record(&self, record: &FlowRecord, version: &mut Version) -> bool {
         let value = match serde_json::to_value(record) {
             Ok(value) => value,
@@ -85,19 +88,25 @@
                 return false;
             }
         };
-        let outcome = self.store.put_if(&self.key, &value, *version).await;
-        match &outcome {
-            WriteOutcome::Accepted(accepted) => {
-                *version = *accepted;
-                return true;
+        for _ in 0..MAX_WRITES {
+            let outcome = self.store.put_if(&self.key, &value, *version).await;
+            match &outcome {
+                WriteOutcome::Accepted(accepted) => {
+                    *version = *accepted;
+                    return true;
+                }
+                // The store came back from a copy, or a write of this or the previous process took
+                // effect although its answer was lost.
+                WriteOutcome::Conflict { theirs } => {
+                    *version = theirs.as_ref().map_or(Version::NONE, |it| it.version);
+                }
+                WriteOutcome::NotAccepted | WriteOutcome::Open { .. } => {}
             }
-            // A write of this or the previous process took effect although its answer was lost.
-            WriteOutcome::Conflict { theirs } => {
-                *version = theirs.as_ref().map_or(Version::NONE, |it| it.version);
+            log::warn!(key:% = self.key, code:% = outcome.code(); "relay: Cannot write the flow record.");
+            if !matches!(outcome, WriteOutcome::Conflict { .. }) {
+                break;
             }
-            WriteOutcome::NotAccepted | WriteOutcome::Open { .. } => {}
         }
-        log::warn!(key:% = self.key, code:% = outcome.code(); "relay: Cannot write the flow record.");
         false
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,11 +1,15 @@
-//! Balancer processes on loopback addresses, and the configuration that they have in force.
+//! Processes on loopback addresses, and the configuration that the balancers have in force.
+#![allow(dead_code, reason = "each test file uses a part of the module")]
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use hawthorntide_relay::{ProcessOptions, RelayBalancer, RelayBalancerOptions};
-use hawthorntide_standins::RouteSpec;
-use hawthorntide_types::Incarnation;
+use hawthorntide_relay::{
+    ProcessOptions, RelayAgent, RelayAgentOptions, RelayBalancer, RelayBalancerOptions,
+};
+use hawthorntide_standins::{RouteSpec, Upstream, UpstreamOptions};
+use hawthorntide_store::ObjectKind;
+use hawthorntide_types::{DurationMs, Incarnation};
 use tokio::time::{sleep, timeout};
 
 /// Test time-out, well above the few seconds that a change takes.
@@ -21,18 +25,21 @@
     SocketAddr::from((ip, port))
 }
 
-/// Starts the balancer on `host`, which learns of the one on `seed`.
-pub async fn spawn_balancer(host: u8, seed: u8, store_address: SocketAddr) -> RelayBalancer {
-    let process = ProcessOptions {
+fn process_options(host: u8, seed: u8, store_address: SocketAddr) -> ProcessOptions {
+    ProcessOptions {
         failure_domain: "domain".parse().unwrap(),
         peer_address: address(host, PEER_PORT),
         seeds: vec![address(host, PEER_PORT), address(seed, PEER_PORT)],
         store_address,
         incarnation: Incarnation(u64::from(host)),
         seed: u64::from(host),
-    };
+    }
+}
+
+/// Starts the balancer on `host`, which learns of the one on `seed`.
+pub async fn spawn_balancer(host: u8, seed: u8, store_address: SocketAddr) -> RelayBalancer {
     let options = RelayBalancerOptions {
-        process,
+        process: process_options(host, seed, store_address),
         data_address: address(host, 27_721),
         ready_address: address(host, 27_722),
         metrics_address: None,
@@ -64,3 +71,50 @@
     };
     timeout(limit, is_in_force).await.is_ok()
 }
+
+/// Returns whether the condition becomes true in time.
+pub async fn becomes_true(condition: impl Fn() -> bool, limit: Duration) -> bool {
+    let is_true = async {
+        while !condition() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(limit, is_true).await.is_ok()
+}
+
+/// Starts an agent on `host` and its upstream, which has no flows.
+pub async fn spawn_agent(host: u8, seed: u8, store_address: SocketAddr) -> (RelayAgent, Upstream) {
+    let (heartbeat_address, output_address) = (address(host, 27_726), address(host, 27_722));
+    let upstream_address = address(host, 27_725);
+    let heartbeat_interval = Duration::from_millis(500);
+    let options = RelayAgentOptions {
+        process: process_options(host, seed, store_address),
+        service: "service".parse().unwrap(),
+        upstream_address,
+        upstream_output_address: output_address,
+        heartbeat_address,
+        ready_address: address(host, 27_727),
+        metrics_address: None,
+        caller_port: 27_721,
+        heartbeat_ms: DurationMs(500),
+        flow_idle_ms: DurationMs(60_000),
+    };
+    let agent = RelayAgent::spawn(options).await.unwrap();
+    let options = UpstreamOptions {
+        id: format!("upstream-{host}"),
+        service: "service".to_owned(),
+        address: upstream_address,
+        output_address,
+        heartbeat_address,
+        heartbeat_interval,
+        service_time: Duration::from_millis(20),
+    };
+    let upstream = Upstream::bind(options, Duration::from_secs(3)).await;
+    (agent, upstream.unwrap())
+}
+
+/// Returns the name of an object of the process on `host` in the platform store.
+pub fn object_name(kind: ObjectKind, host: u8) -> String {
+    let address = address(host, PEER_PORT);
+    format!("{kind}.{}.{}", address.ip(), address.port())
+}
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -6,8 +6,13 @@
 
 use googletest::prelude::*;
 use hawthorntide_standins::{ProxyMode, Store, TcpProxy};
+use hawthorntide_store::ObjectKind;
+use tokio::time::sleep;
 
-use common::{TEST_TIMEOUT, address, has_version, route, spawn_balancer};
+use common::{
+    TEST_TIMEOUT, address, becomes_true, has_version, object_name, route, spawn_agent,
+    spawn_balancer,
+};
 
 /// A confirmed change must be in force at every balancer within this time.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -57,3 +62,45 @@
     first_store.configure(5, &[route(2)]);
     expect_true!(has_version(22, 5, APPLY_TIMEOUT).await);
 }
+
+// Guards against a directory entry and a flow record that are written once and stay lost: a later loss
+// of all memory would leave the agent unknown to others, and its callers without resets.
+#[gtest]
+#[tokio::test]
+async fn lost_objects_of_a_process_are_written_again_after_a_restore() {
+    let store_address = address(39, 27_730);
+    let store = Store::bind(store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let copy = store.copy();
+    let _balancer = spawn_balancer(31, 32, store_address).await;
+    let (_agent, _upstream) = spawn_agent(32, 31, store_address).await;
+    let has_objects = || {
+        let entry =
+            |host| store.has_object("hawthorntide", object_name(ObjectKind::Directory, host));
+        let record = object_name(ObjectKind::FlowRecord, 32);
+        entry(31) && entry(32) && store.has_object("hawthorntide-flows", record)
+    };
+    expect_true!(becomes_true(has_objects, TEST_TIMEOUT).await);
+    store.restore(&copy);
+    expect_false!(has_objects());
+    expect_true!(becomes_true(has_objects, TEST_TIMEOUT).await);
+}
+
+// Guards against an agent that leaves and writes its removed objects again while it stops.
+#[gtest]
+#[tokio::test]
+async fn objects_of_an_agent_that_left_are_not_written_again() {
+    let store_address = address(49, 27_730);
+    let store = Store::bind(store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let (agent, upstream) = spawn_agent(42, 41, store_address).await;
+    let entry = object_name(ObjectKind::Directory, 42);
+    let has_entry = || store.has_object("hawthorntide", &entry);
+    expect_true!(becomes_true(has_entry, TEST_TIMEOUT).await);
+    upstream.drain();
+    sleep(Duration::from_secs(1)).await;
+    agent.stop().await;
+    expect_false!(has_entry());
+    // Longer than the time between two listings of the directory.
+    expect_false!(becomes_true(has_entry, Duration::from_secs(12)).await);
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -17,7 +17,7 @@
     Collection, CollectionChanges, CollectionListing, Freshness, ListPage, StoreDialect,
     StoreMethod, StoreRequest,
 };
-use crate::era::EraObserver;
+use crate::era::{EraObserver, EraReceiver};
 use crate::object::{Listing, MAX_VALUE_BYTES, ObjectKey, StoredObject, WatchResult, WriteId};
 use crate::protocol::{ObjectApi, ObjectBody, REVISION_GONE_STATUS, decode_object, encode_value};
 use crate::write::WriteOutcome;
@@ -147,6 +147,11 @@
         self.era.current()
     }
 
+    /// Returns a receiver that is notified when the era of the store changes.
+    pub fn watch_era(&self) -> EraReceiver {
+        self.era.subscribe()
+    }
+
     /// Reads an object; a deleted object is returned as a tombstone.
     pub async fn get(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError> {
         self.get_until(key, self.deadline()).await
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -5,6 +5,9 @@
 use reqwest::header::HeaderMap;
 use tokio::sync::watch;
 
+/// Receives the era of the store whenever it changes; `None` until the store has answered.
+pub type EraReceiver = watch::Receiver<Option<StoreEra>>;
+
 /// Era that the last answer of the store reported.
 #[derive(Debug, Default)]
 pub(crate) struct EraObserver {
@@ -16,6 +19,10 @@
         self.era.borrow().unwrap_or_default()
     }
 
+    pub(crate) fn subscribe(&self) -> EraReceiver {
+        self.era.subscribe()
+    }
+
     /// Returns whether the store has answered a call.
     pub(crate) fn is_known(&self) -> bool {
         self.era.borrow().is_some()
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,6 +15,7 @@
     Collection, CollectionChanges, CollectionListing, Freshness, ListPage, StoreDialect,
     StoreMethod, StoreRequest, WatchPage,
 };
+pub use era::EraReceiver;
 pub use object::{
     Listing, MAX_VALUE_BYTES, ObjectKey, ObjectKind, StoredObject, WatchResult, WriteId,
 };
