Reset no flow by a directory that may lack agents after a restore

Callers could lose an open flow whose upstream lives: a balancer that starts takes the directory for complete, since agents accept no flows before they are registered, and resets an established flow once all agents that it knows disown it. A store that comes back from a copy breaks this: it may have lost the entry of the owner.

A directory with an entry of another era than the listing is now incomplete: a balancer that starts with it resets no established flow for 5 s, in which the missing agents restart, register again and are known by gossip. The entries carry the era in which they were written, so nothing changes for a store that never came back from a copy. Entries of VMs that are lost for good keep their era; after a restore they cost this time at each later start of a balancer.

a_flow_of_an_agent_whose_directory_entry_was_lost_is_not_reset fails before: reset 50 no-endpoint of a flow that its upstream holds.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -33,6 +33,10 @@
 /// Idle timeout of cached owners before the first configuration is applied.
 const DEFAULT_IDLE_MS: DurationMs = DurationMs(60_000);
 
+/// Time in which agents whose directory entries the platform store has lost restart and are known
+/// again.
+const REGISTRATION_WINDOW_MS: DurationMs = DurationMs(5_000);
+
 /// Decision about a packet of a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum BalancerDecision {
@@ -74,6 +78,8 @@
     routes_confirmed_at: Option<TimeMs>,
     /// The directory was read at least once since the process started.
     is_directory_read: bool,
+    /// Until then, the first listing of the directory may lack agents.
+    directory_incomplete_until: TimeMs,
     cached_owners: HashMap<FlowKey, CachedOwner>,
     last_expiry: TimeMs,
 }
@@ -87,6 +93,7 @@
             removed_routes: Vec::new(),
             routes_confirmed_at: None,
             is_directory_read: false,
+            directory_incomplete_until: TimeMs::default(),
             cached_owners: HashMap::new(),
             last_expiry: TimeMs::default(),
         }
@@ -113,6 +120,16 @@
         self.gossip.handle(now, event, out);
     }
 
+    /// Records that the directory was read. It is incomplete if the platform store came back from a
+    /// copy since some entries were written; a later listing changes nothing, because gossip names all
+    /// agents by then.
+    pub fn record_directory(&mut self, now: TimeMs, is_complete: bool) {
+        if !self.is_directory_read && !is_complete {
+            self.directory_incomplete_until = now + REGISTRATION_WINDOW_MS;
+        }
+        self.is_directory_read = true;
+    }
+
     /// Applies routes if they are newer than those in force; returns whether they are.
     pub fn apply(&mut self, configuration: Configuration) -> bool {
         let old: Vec<_> = self.routes.configuration().map_or_else(Vec::new, |it| {
@@ -362,8 +379,9 @@
     /// A new flow is refused, unless an agent that the packet has not visited may recover before the
     /// caller retransmits. An established flow is reset only if every agent that may own it was
     /// visited or is unreachable; the directory names them all, since agents accept no new flows
-    /// before they are registered. If the packet visited at most half of the agents, the fault may be
-    /// in the balancer's network, so the packet is dropped.
+    /// before they are registered, unless the platform store has lost entries. If the packet visited
+    /// at most half of the agents, the fault may be in the balancer's network, so the packet is
+    /// dropped.
     fn handle_no_agent_left(
         &self,
         now: TimeMs,
@@ -373,7 +391,10 @@
         let view = self.gossip.view();
         let may_reset = match segment.kind {
             SegmentKind::Opening { .. } => !view.may_recover(now, &search.service, &search.visited),
-            SegmentKind::Established => search.visited.len() * 2 > view.agents().count(),
+            SegmentKind::Established => {
+                now >= self.directory_incomplete_until
+                    && search.visited.len() * 2 > view.agents().count()
+            }
             SegmentKind::Accepting | SegmentKind::Reset => false,
         };
         if self.is_directory_read && may_reset {
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -163,6 +163,8 @@
     pub agents: BTreeMap<u8, AgentNode>,
     pub services: u8,
     pub directory: BTreeMap<u8, Peer>,
+    /// The platform store may have lost entries of the directory.
+    pub is_directory_incomplete: bool,
     incarnations: u64,
     /// Processes that are partitioned from all others.
     pub partitioned: BTreeSet<u8>,
@@ -184,6 +186,7 @@
             agents: BTreeMap::new(),
             services,
             directory: BTreeMap::new(),
+            is_directory_incomplete: false,
             incarnations: 0,
             partitioned: BTreeSet::new(),
             hops: 0,
@@ -216,6 +219,7 @@
         let mut machine = BalancerMachine::new(local_peer.clone(), u64::from(number));
         machine.apply(configuration(1, self.services));
         machine.confirm(self.now);
+        machine.record_directory(self.now, !self.is_directory_incomplete);
         self.balancers.insert(number, machine);
         self.register(number, local_peer);
     }
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -183,6 +183,33 @@
     expect_that!(outcome, eq(Outcome::Reset(ResultCode::NoEndpoint)));
 }
 
+// A store that came back from a copy may have lost the directory entry of the agent that owns a flow. A
+// balancer that starts then knows too few agents to reset the flow.
+#[gtest]
+fn a_flow_of_an_agent_whose_directory_entry_was_lost_is_not_reset() {
+    let mut fleet = Fleet::new(1, 4, 1);
+    let key = flow(1, 0);
+    let (agent, number) = fleet.open(1, key).unwrap();
+    fleet.directory.remove(&agent);
+    fleet.is_directory_incomplete = true;
+    // All processes restart at once, this agent later than the others.
+    let agents: Vec<u8> = fleet.agents.keys().copied().collect();
+    fleet.partitioned.extend(&agents);
+    for other in agents.into_iter().filter(|it| *it != agent) {
+        fleet.restart_agent(other);
+    }
+    fleet.start_balancer(1);
+    fleet.partitioned = [agent].into();
+    fleet.run_for(1_000);
+    let outcome = fleet.send_on_flow(1, key, number);
+    expect_that!(outcome, eq(Outcome::Dropped(ResultCode::NoEndpoint)));
+    fleet.partitioned.remove(&agent);
+    fleet.restart_agent(agent);
+    fleet.run_for(1_500);
+    let outcome = fleet.send_on_flow(1, key, number);
+    expect_that!(outcome, eq(Outcome::Accepted(agent)));
+}
+
 // After a power loss that ended all flows, callers must get resets without a delay of seconds.
 #[gtest]
 fn flows_that_ended_are_reset_right_after_the_start_of_all_processes() {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -450,7 +450,9 @@
     fn handle_directory_event(&self, event: DirectoryEvent) {
         let event = match event {
             DirectoryEvent::Registered { was_known } => AgentEvent::Registered { was_known },
-            DirectoryEvent::Listed(peers) => AgentEvent::Gossip(GossipEvent::Directory(peers)),
+            DirectoryEvent::Listed { peers, .. } => {
+                AgentEvent::Gossip(GossipEvent::Directory(peers))
+            }
         };
         self.handle(event, &mut [], None);
     }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -8,7 +8,7 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     BalancerDecision, BalancerMachine, BalancerStatus, Configuration, GOSSIP_INTERVAL_MS,
-    GossipEvent, PeerMessage, PeerRole, Segment, decode,
+    GossipEvent, Peer, PeerMessage, PeerRole, Segment, decode,
 };
 use hawthorntide_platform::{
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
@@ -125,8 +125,8 @@
         if let Some(directory) = Directory::new(store, &local_peer, recovery) {
             let shared = Arc::clone(&shared);
             tasks.spawn(directory.run(move |event| {
-                if let DirectoryEvent::Listed(peers) = event {
-                    shared.gossip(GossipEvent::Directory(peers));
+                if let DirectoryEvent::Listed { peers, is_complete } = event {
+                    shared.handle_directory(peers, is_complete);
                 }
             }));
         }
@@ -292,6 +292,12 @@
         perform_gossip(&self.peers, actions, &mut self.buffer());
     }
 
+    fn handle_directory(&self, peers: Vec<Peer>, is_complete: bool) {
+        self.machine()
+            .record_directory(self.clock.now(), is_complete);
+        self.gossip(GossipEvent::Directory(peers));
+    }
+
     fn handle_configuration_event(&self, event: ConfigurationEvent) {
         let now = self.clock.now();
         let role = match event {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -35,8 +35,13 @@
         /// The entry existed before the process started.
         was_known: bool,
     },
-    /// Entries of all processes.
-    Listed(Vec<Peer>),
+    /// The directory was listed.
+    Listed {
+        peers: Vec<Peer>,
+        /// All entries were written in the present era of the store. Otherwise the store may have
+        /// lost entries that are not written again yet.
+        is_complete: bool,
+    },
 }
 
 /// Registers a process in the directory and lists the entries of all processes.
@@ -91,9 +96,10 @@
             let local_entry = entries.iter().find(|entry| entry.key == self.key).cloned();
             let is_known = local_entry.as_ref().is_some_and(|it| self.is_current(it));
             let is_in_place = local_entry.as_ref().is_some_and(|it| self.is_in_place(it));
+            let is_complete = entries.iter().all(|it| it.version.era() == listed_era);
             let peers = peers(entries);
             let processes = peers.len();
-            on_event(DirectoryEvent::Listed(peers));
+            on_event(DirectoryEvent::Listed { peers, is_complete });
             if !is_in_place && freshness == Freshness::MayBeStale {
                 freshness = Freshness::Current;
                 continue;
