Keep a watcher slot when the store comes back from a copy

On the own interface every holder of a watcher slot lost it at its next renewal after the store came back from a copy: the renewal expected a lost version. Until the slots were acquired again, 5 s and more, no balancer watched the store, and a change written to the store was not in force within its 4 s.

A conflict now carries the current slot. If its version is lower than that of the lease, the store went back to a state before the lease and no other balancer has acquired the slot since, so the holder goes on and renews against the restored version. A slot that another balancer acquired in the new era has a higher version and is lost as before.

For the time of a lease after a restore two balancers may hold a slot, since leases are lost with the copy; both then watch the store, which only costs calls.

--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -217,7 +217,9 @@
         tokio::spawn(async move {
             let outcome = match store.put_if(&key, &value, expected).await {
                 WriteOutcome::Accepted(version) => SlotWrite::Accepted(version),
-                WriteOutcome::Conflict { .. } => SlotWrite::Conflict,
+                WriteOutcome::Conflict { theirs } => {
+                    SlotWrite::Conflict(theirs.map_or(SlotRead::Missing(Version::NONE), slot_read))
+                }
                 WriteOutcome::NotAccepted => SlotWrite::NotAccepted,
                 WriteOutcome::Open { .. } => SlotWrite::Unknown,
             };
--- a/crates/configuration/src/watcher.rs
+++ b/crates/configuration/src/watcher.rs
@@ -69,12 +69,24 @@
     Failed,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+impl SlotRead {
+    /// Returns the version of the slot if it is lower than `version`.
+    fn version_before(&self, version: Version) -> Option<Version> {
+        let read = match self {
+            Self::Found(found) => found.version,
+            Self::Missing(missing) => *missing,
+            Self::Failed => return None,
+        };
+        (read < version).then_some(read)
+    }
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SlotWrite {
     /// The write was applied and produced this version.
     Accepted(Version),
-    /// The slot has a version other than the expected one; nothing was written.
-    Conflict,
+    /// The slot has another version than the expected one, as this read shows; nothing was written.
+    Conflict(SlotRead),
     /// The write was not applied.
     NotAccepted,
     /// The answer was lost; the write may have been applied, or may be applied later.
@@ -457,6 +469,10 @@
         outcome: &SlotRead,
         out: &mut Vec<WatcherAction>,
     ) {
+        if let Some(restored) = outcome.version_before(lease.version) {
+            self.continue_after_restore(now, lease, restored);
+            return;
+        }
         let SlotRead::Found(found) = outcome else {
             if matches!(outcome, SlotRead::Missing(_)) {
                 self.lose_slot(lease.slot, out);
@@ -557,8 +573,11 @@
                 lease.renewed_at = renewal.call.since;
                 lease.renew_at = renewal.call.since + RENEW_INTERVAL_MS;
             }
-            SlotWrite::Conflict => {
-                self.lose_slot(lease.slot, out);
+            SlotWrite::Conflict(current) => {
+                match current.version_before(lease.version) {
+                    Some(restored) => self.continue_after_restore(now, lease, restored),
+                    None => self.lose_slot(lease.slot, out),
+                }
                 return;
             }
             SlotWrite::NotAccepted => lease.renew_at = now + RETRY_DELAY_MS,
@@ -570,6 +589,17 @@
         self.state = State::Holding(lease);
     }
 
+    /// Keeps a slot whose object went back to the version `restored`: the store came back from a copy
+    /// from before the last renewal, and no other balancer has acquired the slot since. The next
+    /// renewal replaces the restored version.
+    fn continue_after_restore(&mut self, now: TimeMs, mut lease: Lease, restored: Version) {
+        lease.version = restored;
+        lease.renew_at = now;
+        lease.renewal = None;
+        lease.unresolved = None;
+        self.state = State::Holding(lease);
+    }
+
     /// Clears the holder in the store, so that another balancer can acquire the slot at once.
     fn release(&mut self, now: TimeMs, out: &mut Vec<WatcherAction>) {
         self.is_released = true;
