Write confirmed changes again that the store lost

An operator's change of a profile or a service was confirmed, then lost when the store came back from a copy. The balancers kept it in force, but nobody wrote it again: a restart of all balancers would have brought the older version back, and an operator's next write was refused as a conflict with it.

A balancer that watches the store now compares its replica with each listing and writes objects again whose version is of an earlier era and higher than the listed one, on condition of the listed version and with the write id of the change. It lists as soon as any of its calls shows a new era, not only when its watch is answered. Within an era nothing counts as lost.

confirmed_and_later_changes_are_in_force_after_a_restore fails before: the store keeps the older version (34 s).

--- a/crates/balancer/src/operations.rs
+++ b/crates/balancer/src/operations.rs
@@ -49,22 +49,16 @@
     /// Applies the object that the store returned to the local replica, which distributes it to all
     /// members.
     async fn apply_outcome(&self, change: &Change, outcome: &WriteOutcome) {
-        let object = match outcome {
-            WriteOutcome::Accepted(version) => StoredObject {
-                key: change.key.clone(),
-                version: *version,
-                write_id: Some(change.write_id.clone()),
-                is_deleted: change.value.is_none(),
-                value: change.value.clone().unwrap_or_default(),
-            },
-            WriteOutcome::Conflict {
-                theirs: Some(theirs),
-            } => theirs.clone(),
-            WriteOutcome::Conflict { theirs: None }
-            | WriteOutcome::NotAccepted
-            | WriteOutcome::Open { .. } => return,
+        let written = StoredObject {
+            key: change.key.clone(),
+            version: change.expected,
+            write_id: Some(change.write_id.clone()),
+            is_deleted: change.value.is_none(),
+            value: change.value.clone().unwrap_or_default(),
         };
-        self.control.apply_object(replica_object(object)).await;
+        if let Some(current) = outcome.current(written) {
+            self.control.apply_object(replica_object(current)).await;
+        }
     }
 
     fn record_change(&self, outcome: &WriteOutcome) {
@@ -240,7 +234,7 @@
     }
 }
 
-fn stored_object(object: &Object) -> Option<StoredObject> {
+pub(crate) fn stored_object(object: &Object) -> Option<StoredObject> {
     let kind = object.kind.parse().ok()?;
     Some(StoredObject {
         key: ObjectKey::new(kind, &object.name).ok()?,
--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use hawthorntide_configuration::{
-    SLOTS_PER_DOMAIN, SlotRead, SlotState, SlotWrite, WatcherAction, WatcherClaims, WatcherEvent,
-    WatcherMachine,
+    Object, SLOTS_PER_DOMAIN, SlotRead, SlotState, SlotWrite, WatcherAction, WatcherClaims,
+    WatcherEvent, WatcherMachine, lost_objects,
 };
 use hawthorntide_membership::{BalancerMember, Health};
 use hawthorntide_store::{
-    ObjectKey, ObjectKind, ObjectStore, StoreError, StoredObject, WatchCursor, WatchStep,
-    WriteOutcome,
+    Listing, ObjectKey, ObjectKind, ObjectStore, StoreError, StoredObject, WatchCursor, WatchStep,
+    WriteId, WriteOutcome,
 };
 use hawthorntide_types::{DurationMs, FailureDomain, NodeId, Phase, TimeMs, Version};
 use tokio::sync::mpsc;
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::ControlHandle;
-use crate::operations::replica_object;
+use crate::operations::{replica_object, stored_object};
 
 /// Tick interval of the state machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
@@ -251,11 +251,16 @@
 /// position is no longer available.
 async fn watch(store: Arc<ObjectStore>, control: ControlHandle) {
     let mut cursor = WatchCursor::default();
+    let mut era = store.watch_era();
     loop {
         let step = cursor.next(WATCH_MS);
         let result = match step {
             WatchStep::List => list_and_apply(&store, &control).await,
-            WatchStep::Watch { from, wait_ms } => watch_once(&store, &control, from, wait_ms).await,
+            WatchStep::Watch { from, wait_ms } => tokio::select! {
+                result = watch_once(&store, &control, from, wait_ms) => result,
+                // Another call of this process showed that the store came back from a copy.
+                _ = era.wait_for(|era| *era != Some(from.era())) => Err(StoreError::RevisionGone),
+            },
         };
         match (step, result) {
             (WatchStep::List, Ok(position)) => cursor.listed(position),
@@ -277,10 +282,48 @@
     control: &ControlHandle,
 ) -> Result<Version, StoreError> {
     let listing = store.list().await?;
+    write_lost_objects(store, control, &listing).await;
     apply(control, listing.objects).await;
     Ok(listing.position)
 }
 
+/// Writes the profiles and services again that the store lost when it came back from a copy: their
+/// changes were confirmed and are in force. Of several balancers, one succeeds.
+async fn write_lost_objects(store: &ObjectStore, control: &ControlHandle, listing: &Listing) {
+    let replica = control.objects().await.unwrap_or_default();
+    let stored = |object: &Object| {
+        let mut listed = listing.objects.iter();
+        let listed = listed.find(|it| is_same_object(it, object));
+        listed.map_or(Version::NONE, |it| it.version)
+    };
+    for lost in lost_objects(&replica, listing.position.era(), stored) {
+        let Some(object) = stored_object(&lost.object) else {
+            continue;
+        };
+        let id = object.write_id.clone().unwrap_or_else(WriteId::random);
+        let outcome = if object.is_deleted {
+            store.delete_if_with_id(&object.key, lost.stored, id).await
+        } else {
+            store
+                .put_if_with_id(&object.key, &object.value, lost.stored, id)
+                .await
+        };
+        log::warn!(
+            "platform: The store lost version {} of {}; written again: {}.",
+            object.version,
+            object.key,
+            outcome.code()
+        );
+        if let Some(current) = outcome.current(object) {
+            control.apply_object(replica_object(current)).await;
+        }
+    }
+}
+
+fn is_same_object(stored: &StoredObject, object: &Object) -> bool {
+    stored.key.kind.to_string() == object.kind && stored.key.name == object.name
+}
+
 async fn watch_once(
     store: &ObjectStore,
     control: &ControlHandle,
--- a/crates/balancer/tests/operations.rs
+++ b/crates/balancer/tests/operations.rs
@@ -183,6 +183,66 @@
     expect_that!(after.list, le(4 + 2));
 }
 
+// Guards against a confirmed change that the store lost and that nobody writes again: after a restart of
+// all balancers the older version would be in force. Also guards against a change of the new era that
+// the watches miss.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn confirmed_and_later_changes_are_in_force_after_a_restore() {
+    let d = deployment(&["bzh-rns", "bzh-rns", "bzh-brs"]).await;
+    // Slots are acquired after 5 s without a claim.
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    let create = d.client.post(d.url(0, "/v1/profiles")).body(PROFILE);
+    let (status, created) = d.send(create).await;
+    expect_that!(status, eq(200), "{created}");
+    let first = created["version"].as_u64().unwrap();
+    let copy = d.server.handle().copy();
+    let changed = PROFILE.replace("\"deadline_ms\": 2000", "\"deadline_ms\": 2500");
+    expect_that!(changed.as_str(), not(eq(PROFILE)));
+    let update = d.client.put(d.url(1, "/v1/profiles/day")).body(changed);
+    let (status, updated) = d.send(update.header("if-match", first)).await;
+    expect_that!(status, eq(200), "{updated}");
+    let lost = updated["version"].as_u64().unwrap();
+    d.wait_for(lost).await;
+
+    d.server.handle().restore(&copy);
+    let store = ObjectStore::open(d.server.address(), StoreOptions::default()).unwrap();
+    let day = ObjectKey::new(ObjectKind::Profile, "day").unwrap();
+    let restored = store.get(&day).await.unwrap().unwrap();
+    expect_that!(restored.version.get(), eq(first));
+    // The revisions of the lost history are given out again.
+    let night = ObjectKey::new(ObjectKind::Profile, "night").unwrap();
+    let mut profile = restored.value.clone();
+    profile["name"] = json!("night");
+    let mut version = Version::NONE;
+    for _ in 0..4 {
+        let outcome = store.put_if(&night, &profile, version).await;
+        let WriteOutcome::Accepted(accepted) = outcome else {
+            panic!("expected an accepted write, got {outcome:?}");
+        };
+        version = accepted;
+    }
+    let start = Instant::now();
+    for node in 0..d.nodes.len() {
+        while d.get(node, "/v1/profiles/night").await.1["version"] != version.get() {
+            assert!(start.elapsed() < Duration::from_secs(20), "node {node}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    expect_that!(start.elapsed(), lt(IN_FORCE_TARGET));
+    let deadline = Instant::now() + IN_FORCE_TARGET;
+    let written = loop {
+        let current = store.get(&day).await.unwrap().unwrap();
+        if current.version.get() > lost || Instant::now() > deadline {
+            break current;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    expect_that!(written.version.get(), gt(lost));
+    expect_that!(written.value, not(eq(&restored.value)));
+    d.wait_for(written.version.get()).await;
+}
+
 // Guards against a drain request that has no effect on the process.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/store/src/write.rs
+++ b/crates/store/src/write.rs
@@ -32,6 +32,18 @@
             Self::Open { .. } => ResultCode::OutcomeOpen,
         }
     }
+
+    /// Returns the object as the store has it after a write of `written`, if the outcome shows it.
+    pub fn current(&self, written: StoredObject) -> Option<StoredObject> {
+        match self {
+            Self::Accepted(version) => Some(StoredObject {
+                version: *version,
+                ..written
+            }),
+            Self::Conflict { theirs } => theirs.clone(),
+            Self::NotAccepted | Self::Open { .. } => None,
+        }
+    }
 }
 
 /// Outcome of a conditional removal.
