Let the fault soak return its store to copies; document restores

The soak never lost anything that its store had acknowledged, so it could not find this class of faults. Its store now comes back from copies of up to 10 s before, alone and among the other faults; the operator writes the configuration again, and other programs give out lost revisions before any process calls. The check of a route opens several flows, so that it reaches each balancer, and runs once more at the end.

--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -266,7 +266,7 @@
             (WatchStep::List, Ok(position)) => cursor.listed(position),
             (WatchStep::Watch { .. }, Ok(position)) => cursor.watched(position),
             (_, Err(error)) => {
-                log::warn!("platform: Watch failed: {error}.");
+                log::warn!("platform: Watch failed and will be retried: {error}.");
                 if cursor.failed(error) {
                     let jitter = rand::random::<u64>() % RETRY_DELAY_MS;
                     sleep(Duration::from_millis(RETRY_DELAY_MS + jitter)).await;
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -1,12 +1,13 @@
 //! Starts the processes under test and the simulated platform of a run.
 
+use std::collections::VecDeque;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hawthorntide_standins::{
-    ProxyMode, RouteSpec, Router, Store, TcpProxy, Upstream, UpstreamOptions,
+    ProxyMode, RouteSpec, Router, Store, StoreCopy, TcpProxy, Upstream, UpstreamOptions,
 };
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -45,6 +46,9 @@
 /// Limit for binding an address that the previous incarnation of an upstream still holds.
 const BIND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Copies of the store that are kept, one a second.
+pub(crate) const MAX_COPIES: usize = 10;
+
 /// Pause between two attempts to bind an address.
 const BIND_PAUSE: Duration = Duration::from_millis(10);
 
@@ -65,7 +69,10 @@
     pub(crate) store_proxy: TcpProxy,
     pub(crate) router: Arc<Router>,
     pub(crate) version: u64,
+    routes: Vec<RouteSpec>,
     store: Store,
+    /// Latest one last.
+    copies: VecDeque<StoreCopy>,
     network: u8,
 }
 
@@ -114,7 +121,9 @@
             store_proxy,
             router: Arc::new(Router::spawn(targets)),
             version: 0,
+            routes: Vec::new(),
             store,
+            copies: VecDeque::new(),
             network,
         };
         deployment.configure(false);
@@ -131,7 +140,29 @@
                 service: service_name(1),
             });
         }
-        self.store.configure(self.version, &routes);
+        self.routes = routes;
+        self.store.configure(self.version, &self.routes);
+    }
+
+    /// Takes a copy of the store; called once a second.
+    pub(crate) fn copy_store(&mut self) {
+        self.copies.push_back(self.store.copy());
+        if self.copies.len() > MAX_COPIES {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Returns the store to the copy of `age_s` seconds ago, or to the oldest one. Then the operator
+    /// writes the configuration again, and other programs make `writes` changes.
+    pub(crate) fn restore_store(&mut self, age_s: usize, writes: u64) {
+        let index = self.copies.len().saturating_sub(age_s + 1);
+        let Some(copy) = self.copies.get(index) else {
+            return;
+        };
+        self.store.restore(copy);
+        self.copies.truncate(index + 1);
+        self.store.configure(self.version, &self.routes);
+        self.store.write_others(writes);
     }
 
     pub(crate) fn caller_address(&self, number: u8) -> SocketAddr {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -7,6 +7,8 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
+use crate::deployment::MAX_COPIES;
+
 /// Fault or configuration change, with the index of its target, if any.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Fault {
@@ -30,6 +32,14 @@
     ReloadAll,
     /// Injects a fault into the connections to the platform store.
     Store(ProxyMode),
+    /// The platform store is away and comes back from a copy; the operator writes the lost
+    /// configuration again.
+    RestoreStore {
+        /// Age of the copy, in seconds.
+        age_s: usize,
+        /// Writes of other programs that give out lost revisions again before any process calls.
+        writes: u64,
+    },
     /// Adds or removes the extra route.
     ChangeRoute,
 }
@@ -74,7 +84,7 @@
         ProxyMode::DropAnswers,
     ];
     let mode = modes.choose(random).copied().unwrap_or_default();
-    match random.random_range(0..20) {
+    match random.random_range(0..23) {
         0..=2 => Fault::KillBalancer(balancer),
         3..=4 => Fault::TerminateBalancer(balancer),
         5 => Fault::PauseBalancer(balancer),
@@ -85,6 +95,10 @@
         14 => Fault::KillAll,
         15 => Fault::ReloadAll,
         16..=17 => Fault::Store(mode),
+        18..=20 => Fault::RestoreStore {
+            age_s: random.random_range(0..MAX_COPIES),
+            writes: random.random_range(0..100),
+        },
         _ => Fault::ChangeRoute,
     }
 }
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -32,6 +32,12 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time between two copies of the store.
+const COPY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Flows by which a route is checked, for each balancer; the router spreads them.
+const FLOWS_PER_BALANCER: usize = 2;
+
 /// Time from the drain of an upstream until it stops.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 
@@ -71,6 +77,8 @@
     /// Time of the last change of the extra route.
     route_changed_at: Instant,
     has_extra_route: bool,
+    /// Time of the last copy of the store.
+    copied_at: Instant,
 }
 
 /// Runs the soak and returns the number of violations.
@@ -107,6 +115,7 @@
         faults,
         route_changed_at: Instant::now(),
         has_extra_route: false,
+        copied_at: Instant::now(),
     };
     run.run_faults().await?;
     run.check_recovery(cli).await?;
@@ -152,6 +161,10 @@
             .collect();
         while let Some(next) = schedule.peek().copied() {
             self.collect_reports();
+            if self.copied_at.elapsed() >= COPY_INTERVAL {
+                self.copied_at = Instant::now();
+                self.deployment.copy_store();
+            }
             if started_at.elapsed() < next.at {
                 sleep(POLL_INTERVAL).await;
                 continue;
@@ -232,6 +245,11 @@
                 record.begin_disturbance("store");
                 self.deployment.set_store_proxy_mode(mode);
             }
+            Fault::RestoreStore { age_s, writes } => {
+                record.begin_disturbance("store");
+                self.deployment.set_store_proxy_mode(ProxyMode::Reset);
+                self.deployment.restore_store(age_s, writes);
+            }
             Fault::ChangeRoute => {
                 self.has_extra_route = !self.has_extra_route;
                 self.deployment.configure(self.has_extra_route);
@@ -274,7 +292,7 @@
                 record.end_disturbance("router");
             }
             Fault::ReloadAll => {}
-            Fault::Store(_) => {
+            Fault::Store(_) | Fault::RestoreStore { .. } => {
                 self.deployment.set_store_proxy_mode(ProxyMode::Pass);
                 record.end_disturbance("store");
             }
@@ -318,20 +336,22 @@
                 .record_violation(format!("cannot bind {address}"));
             return;
         };
-        let is_open = caller.open(extra_address()).await.is_ok();
-        if is_open && !self.has_extra_route {
-            self.record.record_violation(format!(
-                "removed route still accepts flows, version {}",
-                self.deployment.version
-            ));
-        }
-        let was_disturbed =
-            !self.record.is_undisturbed("router") || !self.record.is_undisturbed("store");
-        if !is_open && self.has_extra_route && !was_disturbed {
-            self.record.record_violation(format!(
-                "added route accepts no flows, version {}",
-                self.deployment.version
-            ));
+        for _ in 0..FLOWS_PER_BALANCER * self.deployment.balancers.len() {
+            let is_open = caller.open(extra_address()).await.is_ok();
+            if is_open && !self.has_extra_route {
+                self.record.record_violation(format!(
+                    "removed route still accepts flows, version {}",
+                    self.deployment.version
+                ));
+            }
+            let was_disturbed =
+                !self.record.is_undisturbed("router") || !self.record.is_undisturbed("store");
+            if !is_open && self.has_extra_route && !was_disturbed {
+                self.record.record_violation(format!(
+                    "added route accepts no flows, version {}",
+                    self.deployment.version
+                ));
+            }
         }
     }
 
@@ -359,6 +379,7 @@
             self.record
                 .record_violation(format!("not recovered: {answered} answered, {failed} not"));
         }
+        self.check_route().await;
         self.collect_reports();
         Ok(())
     }
--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -29,7 +29,8 @@
     binary
 }
 
-fn expect_no_violation(seed: u64, seconds: u64) {
+/// Runs the soak, expects that all guarantees held, and returns the output.
+fn expect_no_violation(seed: u64, seconds: u64) -> String {
     let binary = build_system();
     let (seed, seconds) = (seed.to_string(), seconds.to_string());
     let output = soak(&[
@@ -43,6 +44,7 @@
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     expect_that!(output.status.code(), some(eq(0)), "{text}");
     expect_that!(text, contains_substring(" 0 promises broken"));
+    text
 }
 
 // The guarantees must hold under a fixed series of faults.
@@ -51,6 +53,14 @@
     expect_no_violation(7, 8);
 }
 
+// The guarantees must hold while the platform store comes back from copies, among other faults.
+#[gtest]
+fn guarantees_hold_while_the_store_comes_back_from_copies() {
+    let text = expect_no_violation(3, 20);
+    let restores = text.matches("RestoreStore").count();
+    expect_that!(restores, ge(3), "{text}");
+}
+
 // Failures that the soak found in the past must not return.
 #[gtest]
 fn guarantees_hold_with_seeds_of_former_failures() {
