Change the route in the soak while its store is away after a restore

A restore alone leaves balancers with the version that the operator writes again; the fault shows when a change is made before they reach the store again.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -152,9 +152,9 @@
         }
     }
 
-    /// Returns the store to the copy of `age_s` seconds ago, or to the oldest one. Then the operator
-    /// writes the configuration again, and other programs make `writes` changes.
-    pub(crate) fn restore_store(&mut self, age_s: usize, writes: u64) {
+    /// Returns the store to the copy of `age_s` seconds ago, or to the oldest one. The operator writes
+    /// the configuration again.
+    pub(crate) fn restore_store(&mut self, age_s: usize) {
         let index = self.copies.len().saturating_sub(age_s + 1);
         let Some(copy) = self.copies.get(index) else {
             return;
@@ -162,7 +162,11 @@
         self.store.restore(copy);
         self.copies.truncate(index + 1);
         self.store.configure(self.version, &self.routes);
-        self.store.write_others(writes);
+    }
+
+    /// Makes changes to objects of other programs in the store.
+    pub(crate) fn write_others(&self, count: u64) {
+        self.store.write_others(count);
     }
 
     pub(crate) fn caller_address(&self, number: u8) -> SocketAddr {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -33,10 +33,12 @@
     /// Injects a fault into the connections to the platform store.
     Store(ProxyMode),
     /// The platform store is away and comes back from a copy; the operator writes the lost
-    /// configuration again.
+    /// configuration again before any process reaches the store.
     RestoreStore {
         /// Age of the copy, in seconds.
         age_s: usize,
+        /// The operator also adds or removes the extra route.
+        is_route_changed: bool,
         /// Writes of other programs that give out lost revisions again before any process calls.
         writes: u64,
     },
@@ -97,6 +99,7 @@
         16..=17 => Fault::Store(mode),
         18..=20 => Fault::RestoreStore {
             age_s: random.random_range(0..MAX_COPIES),
+            is_route_changed: random.random_bool(0.5),
             writes: random.random_range(0..100),
         },
         _ => Fault::ChangeRoute,
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -245,15 +245,22 @@
                 record.begin_disturbance("store");
                 self.deployment.set_store_proxy_mode(mode);
             }
-            Fault::RestoreStore { age_s, writes } => {
+            Fault::RestoreStore {
+                age_s,
+                is_route_changed,
+                writes,
+            } => {
                 record.begin_disturbance("store");
                 self.deployment.set_store_proxy_mode(ProxyMode::Reset);
-                self.deployment.restore_store(age_s, writes);
+                self.deployment.restore_store(age_s);
+                if is_route_changed {
+                    self.change_route();
+                }
+                // The lost revisions are given out again.
+                self.deployment.write_others(writes);
             }
             Fault::ChangeRoute => {
-                self.has_extra_route = !self.has_extra_route;
-                self.deployment.configure(self.has_extra_route);
-                self.route_changed_at = Instant::now();
+                self.change_route();
                 duration = CONFIGURATION_TIMEOUT + Duration::from_millis(200);
             }
         }
@@ -320,6 +327,13 @@
         Ok(())
     }
 
+    /// Adds or removes the extra route.
+    fn change_route(&mut self) {
+        self.has_extra_route = !self.has_extra_route;
+        self.deployment.configure(self.has_extra_route);
+        self.route_changed_at = Instant::now();
+    }
+
     /// Checks that the last change of the extra route is in force, unless it is too recent or something
     /// was disturbed.
     async fn check_route(&mut self) {
