--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -97,30 +97,33 @@
                 has_configuration = true;
                 backoff.reset();
             }
-            Err(StoreError::RevisionGone) => {
-                log::info!("relay: History of the store gone; listing the configuration again.");
-                if cursor.failed(StoreError::RevisionGone) {
-                    backoff.pause().await;
-                }
-            }
             Err(error) => {
-                log::warn!("relay: Configuration not read: {error}.");
-                cursor.failed(error);
-                on_event(ConfigurationEvent::NotWatching);
-                // If another balancer has a newer configuration now, it has just failed to serve it.
-                if matches!(current_task, ConfigurationTask::FetchFrom(_)) {
-                    backoff.pause().await;
-                } else {
-                    tokio::select! {
+                report_failure(error, &mut on_event);
+                if !cursor.failed(error) {
+                    continue;
+                }
+                match current_task {
+                    // The other balancer has just failed to serve the configuration.
+                    ConfigurationTask::FetchFrom(_) => backoff.pause().await,
+                    ConfigurationTask::Watch | ConfigurationTask::Idle => tokio::select! {
                         () = backoff.pause() => {}
                         () = wait_for_peer(&task) => {}
-                    }
+                    },
                 }
             }
         }
     }
 }
 
+fn report_failure(error: StoreError, on_event: &mut impl FnMut(ConfigurationEvent)) {
+    if error == StoreError::RevisionGone {
+        log::info!("relay: History of the store gone; listing the configuration again.");
+    } else {
+        log::warn!("relay: Configuration not read: {error}.");
+        on_event(ConfigurationEvent::NotWatching);
+    }
+}
+
 /// Fetches the configuration from another balancer; returns whether it answered.
 async fn fetch_from_peer(
     peers: &ConfigurationClient,
