Write versions as era and revision for operators

Logs, commands and the ETag now write era and revision, such as 1.2, and accept both forms; JSON bodies keep the integer. The emulated store counts its restores from 0, as one that never came back from a copy, so versions without a restore read as before (the tests of era 1 in crates/emulator/tests/store.rs are as they were before).

--- a/crates/emulator/src/store/state.rs
+++ b/crates/emulator/src/store/state.rs
@@ -26,7 +26,7 @@
 
 #[derive(Debug)]
 pub(super) struct State {
-    /// Number of the history, from 1; a restore starts the next one.
+    /// Number of restores.
     pub(super) era: u64,
     pub(super) revision: Revision,
     pub(super) counts: CallCounts,
@@ -73,7 +73,7 @@
 impl Shared {
     pub(super) fn new(options: StoreServerOptions) -> Self {
         let state = State {
-            era: 1,
+            era: 0,
             revision: Revision::NONE,
             counts: CallCounts::default(),
             lose_next_answers: 0,
--- a/crates/store/tests/cursor.rs
+++ b/crates/store/tests/cursor.rs
@@ -57,3 +57,27 @@
     let next_era = Version::in_era(StoreEra(3), Revision::NONE);
     expect_that!(next_era, gt(Version::in_era(StoreEra(2), Revision::MAX)));
 }
+
+// Guards against a version that operators cannot pass back as they read it.
+#[gtest]
+fn a_version_is_read_as_it_is_written() {
+    let version = Version::in_era(StoreEra(2), Revision(58));
+    expect_that!(version.to_string(), eq("2.58"));
+    let parse = |text: &str| text.parse::<Version>();
+    expect_that!(parse("2.58"), ok(eq(&version)));
+    expect_that!(parse(&version.get().to_string()), ok(eq(&version)));
+    expect_that!(Version(58).to_string(), eq("58"));
+    expect_that!(parse("58"), ok(eq(&Version(58))));
+    for text in [
+        "",
+        ".",
+        "1.",
+        ".1",
+        "1.2.3",
+        "-1.2",
+        "8192.1",
+        "1.1099511627776",
+    ] {
+        expect_that!(parse(text).is_err(), eq(true), "{text}");
+    }
+}
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -1,8 +1,12 @@
 //! Names and numeric identifiers of processes, services, sessions and object versions.
 
+use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
+use std::str::FromStr;
 
-use crate::newtype::{name, number};
+use serde::{Deserialize, Serialize};
+
+use crate::newtype::{ParseValueError, name, number};
 
 number! {
     /// Identifies a service: a hash of its name, so that no central allocation is needed.
@@ -20,13 +24,6 @@
     /// Distinguishes successive runs of a process at one address; a restarted process has a higher one.
     Incarnation(u64)
 }
-number! {
-    /// Version of an object or of a listing: the era of the platform store and its revision; higher is newer.
-    ///
-    /// Revisions alone do not order versions, since a store that comes back from a copy gives them out again.
-    /// The low 40 bits hold the revision and the next 13 the era, so that a version is exact as a JSON number.
-    Version(u64)
-}
 number! {
     /// Revision of the platform store or of one of its objects. Comparable within one era only.
     Revision(u64)
@@ -69,6 +66,17 @@
     Region
 }
 
+/// Version of an object or of a listing: the era of the platform store and its revision; higher is newer.
+///
+/// Revisions alone do not order versions, since a store that comes back from a copy gives them out again.
+/// The low 40 bits hold the revision and the next 13 the era, so that a version is exact as a JSON number.
+/// As text, era and revision are separated by a dot, unless the era is 0; a plain integer is the inner one.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
 const REVISION_BITS: u32 = 40;
 const ERA_BITS: u32 = 13;
 
@@ -118,6 +126,11 @@
     /// Stands for an object that does not exist; every stored version is higher.
     pub const NONE: Self = Self(0);
 
+    /// Returns the inner integer.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
     /// Returns the version of `revision` in `era`. Eras and revisions above their maximum count as the maximum.
     pub const fn in_era(era: StoreEra, revision: Revision) -> Self {
         let era = if era.0 > StoreEra::MAX.0 {
@@ -143,3 +156,33 @@
         Revision(self.0 & Revision::MAX.0)
     }
 }
+
+impl Display for Version {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let (era, revision) = (self.era(), self.revision());
+        if era == StoreEra::default() {
+            return f.pad(&revision.to_string());
+        }
+        f.pad(&format!("{era}.{revision}"))
+    }
+}
+
+impl FromStr for Version {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let malformed = || ParseValueError {
+            text: text.chars().take(80).collect(),
+            expected: "Version".to_owned(),
+        };
+        let Some((era, revision)) = text.split_once('.') else {
+            return text.parse().map(Self).map_err(|_| malformed());
+        };
+        let era: StoreEra = era.parse().map_err(|_| malformed())?;
+        let revision: Revision = revision.parse().map_err(|_| malformed())?;
+        if era > StoreEra::MAX || revision > Revision::MAX {
+            return Err(malformed());
+        }
+        Ok(Self::in_era(era, revision))
+    }
+}
