--- a/crates/emulator/tests/restored_store.rs
+++ b/crates/emulator/tests/restored_store.rs
@@ -176,6 +176,7 @@
 async fn an_answer_with_another_era_costs_one_listing() {
     for text in ["0", "1", "40"] {
         let s = setup();
+        put(&s.store, "a", 1, Version::NONE).await;
         let copy = s.handle.copy();
         s.handle.restore(&copy);
         s.handle.restore(&copy);
