Let searches get around an agent that has just died

A balancer without the flow in its cache starts a search, which visits the agents one after the other; one that has died loses each copy of the packet until it counts as unreachable, 1.5 s and more later.

Suspected agents now come last in a search, also those that another process named within the last second: a suspicion travels with each message, and reaches all processes within a second. A peer that others reached again stays suspected until it answers this process; before, the first report of others cleared what this process had seen.

a_search_gets_around_an_agent_that_has_just_died (60 agents, 20 flows, copies after 0, 200, 600 and 1,400 ms) fails before: 17 of 20 flows are not found by the last copy; now 7 are found by the third and all by the fourth. Ruled out: the hop limit (96, at most 78 agents), ownership by a second upstream that accepted the handshake (its acknowledgement differs, so the search goes on).

--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -22,6 +22,9 @@
 /// An indirect probe is acknowledged at once if the peer sent a message within this time.
 const RECENT_CONTACT_MS: DurationMs = DurationMs(1_000);
 
+/// A suspicion of another process counts for this long, unless it is repeated: four gossip rounds.
+const REPORT_VALID_MS: DurationMs = DurationMs(1_000);
+
 /// Time within which a terminated process usually restarts. Until then, callers get no reset for
 /// new flows, so that they retransmit.
 const RESTART_WINDOW_MS: DurationMs = DurationMs(3_000);
@@ -75,6 +78,8 @@
     is_suspicion_handled: bool,
     /// Process that suspects the peer and gets an acknowledgement once the peer answers.
     indirect_probe_requester: Option<SocketAddr>,
+    /// When another process last suspected the peer, without contact since.
+    reported_at: Option<TimeMs>,
 }
 
 /// How to handle another process's suspicion of a peer.
@@ -136,6 +141,12 @@
         self.unanswered_probes > 0 && !self.is_unreachable(now)
     }
 
+    /// Returns whether this process or another one suspects the peer.
+    fn is_doubtful(&self, now: TimeMs) -> bool {
+        let is_recent = |reported_at| now.since(reported_at) <= REPORT_VALID_MS;
+        self.is_suspected(now) || self.reported_at.is_some_and(is_recent)
+    }
+
     pub(crate) const fn record_probe(&mut self) {
         self.has_pending_probe = true;
     }
@@ -158,17 +169,22 @@
         self.has_pending_probe = false;
         self.unanswered_probes = 0;
         self.last_contact = Some(now);
+        self.reported_at = None;
         self.indirect_probe_requester.take()
     }
 
     /// Handles the suspicion of another process, at most once in a round.
     pub(crate) fn record_suspicion(&mut self, now: TimeMs, by: SocketAddr) -> SuspicionOutcome {
+        let is_recent_contact = |last_contact| now.since(last_contact) <= RECENT_CONTACT_MS;
+        let has_recent_contact = self.last_contact.is_some_and(is_recent_contact);
+        if !has_recent_contact {
+            self.reported_at = Some(now);
+        }
         if self.is_suspicion_handled || self.is_unreachable(now) {
             return SuspicionOutcome::Ignored;
         }
         self.is_suspicion_handled = true;
-        let is_recent_contact = |last_contact| now.since(last_contact) <= RECENT_CONTACT_MS;
-        if self.last_contact.is_some_and(is_recent_contact) {
+        if has_recent_contact {
             return SuspicionOutcome::RecentContact;
         }
         self.indirect_probe_requester = Some(by);
@@ -276,6 +292,7 @@
                     last_contact: None,
                     is_suspicion_handled: false,
                     indirect_probe_requester: None,
+                    reported_at: None,
                 };
                 self.peers.insert(index, entry);
                 return MergeOutcome::Changed;
@@ -298,8 +315,8 @@
             entry.last_alive = entry.last_alive.max(last_alive);
             entry.is_confirmed = true;
             if is_recovered {
-                // Another process reached the peer; probes show whether this one does.
-                entry.unanswered_probes = 0;
+                // Another process reached the peer; further probes show whether this one does.
+                entry.unanswered_probes = 1;
             }
         }
         if is_changed {
@@ -326,7 +343,8 @@
     ///
     /// New flows go only to serving agents of the service. Loaded agents take a reduced share of
     /// them, unless all are loaded. An established flow may be owned by any reachable agent, since
-    /// the services of a route change; agents of the service come first.
+    /// the services of a route change; agents of the service come first. Suspected agents come last,
+    /// because a search ends at one that has died.
     pub(crate) fn next_agent(&self, now: TimeMs, query: AgentQuery<'_>) -> Option<SocketAddr> {
         let mut best = None;
         for entry in &self.peers {
@@ -355,7 +373,8 @@
                     rank,
                 )
             } else {
-                (is_of_service, u64::from(is_preferred_domain), rank)
+                let affinity = 2 * u64::from(is_of_service) + u64::from(is_preferred_domain);
+                (!entry.is_doubtful(now), affinity, rank)
             };
             if best.is_none_or(|(best, _)| priority > best) {
                 best = Some((priority, entry.peer.address));
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -210,6 +210,38 @@
     expect_that!(outcome, eq(Outcome::Accepted(agent)));
 }
 
+// A search visits the agents one after the other, so one that has just died loses each copy of the
+// packet. The copies must get around it before callers' packets count as misdirected.
+#[gtest]
+fn a_search_gets_around_an_agent_that_has_just_died() {
+    /// Times of a caller's copies, in ms; by the last one, the flow must be found.
+    const COPY_TIMES_MS: [u64; 4] = [0, 200, 600, 1_400];
+    let mut fleet = Fleet::new(2, 60, 1);
+    for caller in 0..20 {
+        let key = flow(caller, 0);
+        let (owner, number) = fleet.open(1, key).unwrap();
+        // The balancer has not cached the owner.
+        fleet.start_balancer(2);
+        fleet.run_for(3_000);
+        // An agent in the failure domain of the balancer, which the search visits before the owner.
+        let dead = 101;
+        fleet.partitioned.insert(dead);
+        let mut sent_ms = 0;
+        let mut outcome = Outcome::Lost;
+        for copy_ms in COPY_TIMES_MS {
+            fleet.run_for(copy_ms - sent_ms);
+            sent_ms = copy_ms;
+            outcome = fleet.send_on_flow(2, key, number);
+            if outcome == Outcome::Accepted(owner) {
+                break;
+            }
+        }
+        expect_that!(outcome, eq(Outcome::Accepted(owner)));
+        fleet.partitioned.clear();
+        fleet.run_for(3_000);
+    }
+}
+
 // After a power loss that ended all flows, callers must get resets without a delay of seconds.
 #[gtest]
 fn flows_that_ended_are_reset_right_after_the_start_of_all_processes() {
