--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -291,10 +291,12 @@
 /// changes were confirmed and are in force. Of several balancers, one succeeds.
 async fn write_lost_objects(store: &ObjectStore, control: &ControlHandle, listing: &Listing) {
     let replica = control.objects().await.unwrap_or_default();
+    let listed = listing.objects.iter();
+    let mut listed: Vec<(u64, Version)> = listed.map(|it| (replica_key(it), it.version)).collect();
+    listed.sort();
     let stored = |object: &Object| {
-        let mut listed = listing.objects.iter();
-        let listed = listed.find(|it| is_same_object(it, object));
-        listed.map_or(Version::NONE, |it| it.version)
+        let index = listed.binary_search_by_key(&object.key(), |(key, _)| *key);
+        index.map_or(Version::NONE, |index| listed[index].1)
     };
     for lost in lost_objects(&replica, listing.position.era(), stored) {
         let Some(object) = stored_object(&lost.object) else {
@@ -320,8 +322,8 @@
     }
 }
 
-fn is_same_object(stored: &StoredObject, object: &Object) -> bool {
-    stored.key.kind.to_string() == object.kind && stored.key.name == object.name
+fn replica_key(stored: &StoredObject) -> u64 {
+    Object::key_of(&stored.key.kind.to_string(), &stored.key.name)
 }
 
 async fn watch_once(
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -129,7 +129,10 @@
             let expected = existing.as_ref().map_or(Version::NONE, |it| it.version);
             let outcome = self.store.put_if(&self.key, &self.entry, expected).await;
             match outcome {
-                WriteOutcome::Accepted(_) => return,
+                WriteOutcome::Accepted(version) => {
+                    log::info!(key:% = self.key, version:% = version; "relay: Directory entry written.");
+                    return;
+                }
                 WriteOutcome::Conflict { theirs: current } => existing = current,
                 WriteOutcome::NotAccepted | WriteOutcome::Open { .. } => {
                     log::warn!(key:% = self.key, code:% = outcome.code(); "relay: Cannot write the directory entry.");
