--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -8,7 +8,13 @@
 const PROMISE_BROKEN: i32 = 100;
 
 /// Seed and seconds of runs that failed in the past; each entry has a comment with the cause.
-const REGRESSIONS: &[(u64, u64)] = &[];
+const REGRESSIONS: &[(u64, u64)] = &[
+    // A route that was added while the store was away after a restore was not served: the watches
+    // resumed at a revision of the lost history.
+    (306, 15),
+    // The same with a route that was removed and still accepted flows.
+    (311, 15),
+];
 
 fn soak(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_hawthorntide-soak"))
