--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -62,7 +62,7 @@
 // The guarantees must hold while the platform store comes back from copies, among other faults.
 #[gtest]
 fn guarantees_hold_while_the_store_comes_back_from_copies() {
-    let text = expect_no_violation(3, 20);
+    let text = expect_no_violation(232, 20);
     let restores = text.matches("RestoreStore").count();
     expect_that!(restores, ge(3), "{text}");
 }
