--- a/crates/trial/src/event.rs
+++ b/crates/trial/src/event.rs
@@ -25,6 +25,10 @@
     PlatformUp,
     /// platform-slow
     PlatformSlow,
+    /// platform-copy
+    PlatformCopy,
+    /// platform-restore
+    PlatformRestore,
     /// lost-answers
     LostAnswers,
     /// profile-change
@@ -40,7 +44,7 @@
 }
 
 impl EventName {
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::BalancerStop,
         Self::BalancerKill,
         Self::BalancerJoin,
@@ -50,6 +54,8 @@
         Self::PlatformDown,
         Self::PlatformUp,
         Self::PlatformSlow,
+        Self::PlatformCopy,
+        Self::PlatformRestore,
         Self::LostAnswers,
         Self::ProfileChange,
         Self::FloodLeast,
--- a/crates/trial/src/operator.rs
+++ b/crates/trial/src/operator.rs
@@ -98,7 +98,8 @@
             return;
         };
         let expected = stored.map_or(Version::NONE, |object| object.version);
-        let target_ms = profile.target_delay_ms.get() + TARGET_DELAY_STEP_MS * (expected.get() + 1);
+        let target_ms =
+            profile.target_delay_ms.get() + TARGET_DELAY_STEP_MS * (expected.revision().get() + 1);
         profile.target_delay_ms = DurationMs(target_ms);
         let value = serde_json::to_value(&profile).expect("a profile can be serialized");
         let outcome = self.store.put_if(&key, &value, expected).await;
--- a/crates/trial/src/runner.rs
+++ b/crates/trial/src/runner.rs
@@ -7,7 +7,7 @@
 
 use displaydoc::Display;
 use hawthorntide_client::{CallError, CallerSocket};
-use hawthorntide_emulator::StoreFaults;
+use hawthorntide_emulator::{StoreCopy, StoreFaults};
 use hawthorntide_timeline::{
     Component, Event, EventKind, HybridClock, ProcessName, TimedEvent, Timeline, merge,
 };
@@ -114,6 +114,7 @@
         callers.push(bound.map_err(TrialError::Callers)?);
     }
     let store = cluster.open_store()?;
+    let store_copy = cluster.store.handle().copy();
     let trial = Trial {
         cluster,
         callers,
@@ -122,6 +123,7 @@
         samples: Vec::new(),
         floods: Vec::new(),
         injected: Vec::new(),
+        store_copy,
         silent_flows: None,
         next_choice: options.seed as usize,
         operator: Operator::new(store),
@@ -141,6 +143,8 @@
     samples: Vec<LoadSample>,
     floods: Vec<Flood>,
     injected: Vec<(Duration, EventName)>,
+    /// Copy of the store: of the last event that took one, or of the start.
+    store_copy: StoreCopy,
     silent_flows: Option<u64>,
     next_choice: usize,
     operator: Operator,
@@ -301,6 +305,8 @@
             EventName::PlatformDown => self.set_faults(|faults| faults.is_down = true),
             EventName::PlatformUp => self.set_faults(|faults| *faults = StoreFaults::default()),
             EventName::PlatformSlow => self.set_faults(|faults| faults.delay_ms = SLOW_STORE_DELAY),
+            EventName::PlatformCopy => self.store_copy = self.cluster.store.handle().copy(),
+            EventName::PlatformRestore => self.cluster.store.handle().restore(&self.store_copy),
             EventName::LostAnswers => self
                 .cluster
                 .store
--- a/tests/trial.rs
+++ b/tests/trial.rs
@@ -185,6 +185,21 @@
     expect_that!(report["config_reverted"].as_u64(), some(eq(0)));
 }
 
+/// Guards against a change that is reverted, or is not in force, after the store lost it and came back
+/// from a copy.
+#[gtest]
+fn restored_store_reverts_no_change() {
+    let events = [
+        "profile-change@0.3",
+        "platform-copy@0.8",
+        "profile-change@1.1",
+        "platform-restore@1.6",
+        "profile-change@2.2",
+    ];
+    let report = report("restore", &events);
+    expect_that!(report["config_reverted"].as_u64(), some(eq(0)));
+}
+
 /// Guards against a change that is lost, applied twice or reverted when the store is slow or its
 /// answers are lost.
 #[gtest]
