Write the directory entry after a restore without a listing

Each process listed the whole directory when the era of the store changed, which at the design size is 100 listings of 6,710 entries a second. It now reads and writes only its own entry.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -13,7 +13,7 @@
     Removal, StoredObject, WriteOutcome,
 };
 use hawthorntide_types::{Incarnation, StoreEra, Version};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::backoff::{Backoff, StoreRecovery};
 
@@ -74,7 +74,7 @@
     }
 
     /// Lists the directory periodically. Registers the process after the first listing, unless its
-    /// entry exists, and whenever the entry is missing or of an earlier era of the store.
+    /// entry exists, and whenever the entry is missing or of another era of the store.
     pub(crate) async fn run(self, mut on_event: impl FnMut(DirectoryEvent)) {
         let mut is_registered = false;
         let mut freshness = Freshness::Current;
@@ -117,7 +117,28 @@
                     continue;
                 }
             }
-            freshness = pause(processes, &mut era, listed_era).await;
+            freshness = Freshness::MayBeStale;
+            self.pause(processes, &mut era, listed_era).await;
+        }
+    }
+
+    /// Waits for the next listing. Registers again after each change of the era, with a delay that
+    /// spreads the registrations of all `processes`.
+    async fn pause(&self, processes: usize, era: &mut EraReceiver, listed_era: StoreEra) {
+        let end = Instant::now() + refresh_interval(processes);
+        let mut known_era = listed_era;
+        let longest = Duration::from_secs(processes as u64) / REGISTRATIONS_PER_SECOND;
+        while let Ok(Some(changed)) = timeout_at(end, next_era(era, known_era)).await {
+            known_era = changed;
+            sleep(longest.mul_f64(rand::random())).await;
+            match self.store.get(&self.key).await {
+                Ok(Some(entry)) if self.is_in_place(&entry) => {}
+                Ok(entry) => self.register(entry).await,
+                // The next listing shows whether the entry is missing.
+                Err(error) => {
+                    log::warn!(key:% = self.key; "relay: Directory entry not read: {error}.");
+                }
+            }
         }
     }
 
@@ -160,16 +181,10 @@
     }
 }
 
-/// Waits for the next listing; returns its freshness. A change of the era ends the wait, with a delay
-/// that spreads the registrations of all `processes`.
-async fn pause(processes: usize, era: &mut EraReceiver, listed_era: StoreEra) -> Freshness {
-    let changed = era.wait_for(|era| *era != Some(listed_era));
-    if timeout(refresh_interval(processes), changed).await.is_err() {
-        return Freshness::MayBeStale;
-    }
-    let longest = Duration::from_secs(processes as u64) / REGISTRATIONS_PER_SECOND;
-    sleep(longest.mul_f64(rand::random())).await;
-    Freshness::Current
+/// Waits for an era other than `known`.
+async fn next_era(era: &mut EraReceiver, known: StoreEra) -> Option<StoreEra> {
+    let changed = era.wait_for(|era| *era != Some(known)).await;
+    changed.ok().and_then(|era| *era)
 }
 
 /// Returns the time between two listings by one of `processes` processes.
