--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -34,6 +34,9 @@
 /// Minimum duration of a drain: two readiness checks of the platform and a margin.
 const MIN_DRAIN_MS: DurationMs = DurationMs(1_500);
 
+/// Log target for configurations; lines about packets share another limit of lines per second.
+const CONFIGURATION_LOG: &str = "hawthorntide_relay::configuration";
+
 #[derive(Clone, Debug)]
 pub struct RelayBalancerOptions {
     pub process: ProcessOptions,
@@ -308,7 +311,13 @@
                 if is_newer {
                     self.metrics.version.set(version.get() as f64);
                 }
-                log::info!(version:% = version, routes, is_newer; "relay: Configuration read.");
+                log::info!(
+                    target: CONFIGURATION_LOG,
+                    version:% = version,
+                    routes,
+                    is_newer;
+                    "relay: Configuration read."
+                );
                 return;
             }
             ConfigurationEvent::Current => {
