--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -253,7 +253,7 @@
     let mut cursor = WatchCursor::default();
     let mut era = store.watch_era();
     loop {
-        let step = cursor.next(WATCH_MS);
+        let step = cursor.next_step(WATCH_MS);
         let result = match step {
             WatchStep::List => list_and_apply(&store, &control).await,
             WatchStep::Watch { from, wait_ms } => tokio::select! {
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -76,7 +76,7 @@
             continue;
         }
         let step = match current_task {
-            ConfigurationTask::Watch => cursor.next(MAX_WATCH_WAIT_MS),
+            ConfigurationTask::Watch => cursor.next_step(MAX_WATCH_WAIT_MS),
             ConfigurationTask::FetchFrom(_) | ConfigurationTask::Idle => WatchStep::List,
         };
         let result = match step {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -100,6 +100,7 @@
             let peers = peers(entries);
             let processes = peers.len();
             on_event(DirectoryEvent::Listed { peers, is_complete });
+            // A stale listing may lack an entry that exists.
             if !is_in_place && freshness == Freshness::MayBeStale {
                 freshness = Freshness::Current;
                 continue;
--- a/crates/store/src/cursor.rs
+++ b/crates/store/src/cursor.rs
@@ -28,7 +28,7 @@
 
 impl WatchCursor {
     /// Returns the next call; a watch waits up to `wait_ms`.
-    pub const fn next(&self, wait_ms: DurationMs) -> WatchStep {
+    pub const fn next_step(&self, wait_ms: DurationMs) -> WatchStep {
         match self.position {
             None => WatchStep::List,
             Some(from) if self.is_interrupted => WatchStep::Watch {
--- a/crates/store/tests/cursor.rs
+++ b/crates/store/tests/cursor.rs
@@ -15,21 +15,21 @@
 #[gtest]
 fn the_first_watch_after_a_failure_does_not_wait() {
     let mut cursor = WatchCursor::default();
-    expect_that!(cursor.next(WAIT_MS), eq(WatchStep::List));
+    expect_that!(cursor.next_step(WAIT_MS), eq(WatchStep::List));
     cursor.listed(position());
     let waiting = WatchStep::Watch {
         from: position(),
         wait_ms: WAIT_MS,
     };
-    expect_that!(cursor.next(WAIT_MS), eq(waiting));
+    expect_that!(cursor.next_step(WAIT_MS), eq(waiting));
     expect_that!(cursor.failed(StoreError::Unavailable), eq(true));
     let at_once = WatchStep::Watch {
         from: position(),
         wait_ms: DurationMs(0),
     };
-    expect_that!(cursor.next(WAIT_MS), eq(at_once));
+    expect_that!(cursor.next_step(WAIT_MS), eq(at_once));
     cursor.watched(position());
-    expect_that!(cursor.next(WAIT_MS), eq(waiting));
+    expect_that!(cursor.next_step(WAIT_MS), eq(waiting));
 }
 
 // Guards against a busy loop of listings and watches while the store has no history of its listings.
@@ -38,7 +38,7 @@
     let mut cursor = WatchCursor::default();
     cursor.listed(position());
     expect_that!(cursor.failed(StoreError::RevisionGone), eq(false));
-    expect_that!(cursor.next(WAIT_MS), eq(WatchStep::List));
+    expect_that!(cursor.next_step(WAIT_MS), eq(WatchStep::List));
     cursor.listed(position());
     expect_that!(cursor.failed(StoreError::RevisionGone), eq(true));
     cursor.listed(position());
