--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -178,9 +178,9 @@
 
     /// Returns how to keep the configuration up to date.
     ///
-    /// A watching balancer gets changes from the platform store; `latest_balancer` shows one that
-    /// its watch missed. One that does not watch, because
-    /// others do or because the store does not answer it, fetches newer routes from a balancer.
+    /// A watching balancer gets changes from the platform store; `latest_balancer` shows one that its
+    /// watch missed. One that does not watch, because others do or because the store does not answer
+    /// it, fetches newer routes from a balancer.
     pub fn configuration_task(&self, now: TimeMs) -> ConfigurationTask {
         let local_peer = self.gossip.local_peer();
         let is_watching = local_peer
@@ -195,8 +195,9 @@
         }
     }
 
-    /// Returns the balancer with the newest routes, if they are newer than the local ones. Ties are broken by rank relative to the local
-    /// balancer, which spreads the fetches of all balancers over those with the newest routes.
+    /// Returns the balancer with the newest routes, if they are newer than the local ones. Ties are
+    /// broken by rank relative to the local balancer, which spreads the fetches of all balancers over
+    /// those with the newest routes.
     pub fn latest_balancer(&self, now: TimeMs) -> Option<SocketAddr> {
         let local_rank = watch_rank(self.gossip.local_peer().address);
         let latest = self.newer_balancers(now).max_by_key(|(version, address)| {
