--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -217,6 +217,11 @@
         versions.filter(move |(version, _)| *version > local_version)
     }
 
+    /// Returns the number of other balancers that say that they watch the platform store.
+    pub fn reachable_watchers(&self, now: TimeMs) -> usize {
+        self.watchers(now).count()
+    }
+
     /// Returns the other balancers that watch the platform store.
     fn watchers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
         let local_address = self.gossip.local_peer().address;
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -303,7 +303,7 @@
 
     fn handle_configuration_event(&self, event: ConfigurationEvent) {
         let now = self.clock.now();
-        let role = match event {
+        let is_watching = match event {
             ConfigurationEvent::Read(configuration) => {
                 let version = configuration.version;
                 let routes = configuration.routes.len();
@@ -323,12 +323,32 @@
             ConfigurationEvent::Current => {
                 let mut machine = self.machine();
                 machine.confirm(now);
-                machine.role(machine.should_watch(now))
+                machine.should_watch(now)
             }
-            ConfigurationEvent::NotWatching => self.machine().role(false),
+            ConfigurationEvent::NotWatching => false,
         };
+        self.report_watching(now, is_watching);
+        let role = self.machine().role(is_watching);
         self.gossip(GossipEvent::LocalRoleChanged(role));
     }
+
+    /// Logs the start and the end of a watch, with the number of other balancers that watch.
+    fn report_watching(&self, now: TimeMs, is_watching: bool) {
+        let machine = self.machine();
+        let was_watching = machine.gossip().local_peer().balancer();
+        let is_changed = was_watching.is_some_and(|it| it.is_watching != is_watching);
+        let other_watchers = machine.reachable_watchers(now);
+        drop(machine);
+        if is_changed {
+            log::info!(
+                target: CONFIGURATION_LOG,
+                is_watching,
+                other_watchers;
+                "relay: Watch of the configuration started or ended."
+            );
+        }
+        self.metrics.watching.set(f64::from(u8::from(is_watching)));
+    }
 }
 
 impl ConfigurationSource for Shared {
--- a/crates/relay/src/metric.rs
+++ b/crates/relay/src/metric.rs
@@ -9,6 +9,8 @@
     pub(crate) located: Counter,
     pub(crate) located_flows: Gauge,
     pub(crate) version: Gauge,
+    /// 1 while the process watches the configuration in the platform store, otherwise 0.
+    pub(crate) watching: Gauge,
 }
 
 pub(crate) struct AgentMetrics {
@@ -32,6 +34,7 @@
             located: counter!("hawthorntide_relay_located_total"),
             located_flows: gauge!("hawthorntide_relay_located_flows"),
             version: gauge!("hawthorntide_relay_configuration_version"),
+            watching: gauge!("hawthorntide_relay_configuration_watching"),
         }
     }
 }
