--- a/crates/opaque/tests/watchers.rs
+++ b/crates/opaque/tests/watchers.rs
@@ -53,6 +53,35 @@
     expect_that!(third.len(), eq(2), "two balancers are left");
 }
 
+// A balancer that hears from no other process may still reach the platform store. It must watch the store
+// itself, since it cannot know whether those that it relied on still do.
+#[gtest]
+fn a_balancer_that_is_cut_off_from_all_others_watches_the_store() {
+    let mut fleet = Fleet::new(4, 10, 1);
+    let watchers = elect_watchers(&mut fleet, &[]);
+    let last = (1..=4).find(|number| !watchers.contains(number)).unwrap();
+    fleet.partitioned.insert(last);
+    fleet.run_for(2_500);
+    let balancer = &fleet.balancers[&last];
+    let task = balancer.configuration_task(fleet.now);
+    expect_that!(task, eq(ConfigurationTask::Watch));
+}
+
+// A balancer that hears from no other process knows of no change, and must not refuse flows of routes that
+// may have been added.
+#[gtest]
+fn a_balancer_that_is_cut_off_from_all_others_refuses_no_unknown_route() {
+    let mut fleet = Fleet::new(4, 10, 1);
+    let watchers = elect_watchers(&mut fleet, &[]);
+    let last = (1..=4).find(|number| !watchers.contains(number)).unwrap();
+    fleet.partitioned.insert(last);
+    fleet.run_for(2_500);
+    let now = fleet.now;
+    let balancer = fleet.balancers.get_mut(&last).unwrap();
+    let decision = balancer.place(now, &opening(flow(1, 1), 0));
+    expect_that!(decision, eq(&BalancerDecision::Drop(ResultCode::NotFound)));
+}
+
 // A balancer must not keep old routes unnoticed while another one has newer routes.
 #[gtest]
 fn a_newer_version_of_one_is_noticed_by_all() {
