Give up a silent watch early enough for others to take over

What callers saw: flows placed and refused by a configuration that was replaced more than 3 s before.

Cause: a watch asked the store to wait for 2.5 s and gave it another second. If the store falls silent for all balancers that watch, the others rely on them until these give up, 3.5 s after their last call, and then list the store. The three calls begin together, 0.3 s after each change, so they end together too.

A watch now waits for 1 s, and the store has the time of one attempt (0.8 s) beyond that: with the pause after a change, a silent store is noticed within 2.1 s. Routes count as confirmed for 2.5 s instead of 4 s, so that a flow of a route whose addition the watch has missed is not refused for longer.

A deployment makes 3 instead of 1.2 watch calls a second.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -17,8 +17,8 @@
 use crate::view::AgentQuery;
 
 /// The routes count as current for this long after the platform store confirmed them. A watch is
-/// answered or fails within this time.
-const ROUTES_CURRENT_FOR_MS: DurationMs = DurationMs(4_000);
+/// answered or fails within this time, and a change is to be in force half a second later.
+const ROUTES_CURRENT_FOR_MS: DurationMs = DurationMs(2_500);
 
 /// Number of balancers that watch the platform store, whatever the size of the deployment. With
 /// several, some usually remain when a failure domain is lost.
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -17,9 +17,11 @@
 use crate::backoff::{Backoff, StoreRecovery};
 use crate::exchange::ConfigurationClient;
 
-/// The store answers a watch after this time even if nothing changed. The client gives up on a dead
-/// connection one second later.
-const MAX_WATCH_WAIT_MS: DurationMs = DurationMs(2_500);
+/// The store answers a watch after this time even if nothing changed. If the store falls silent for all
+/// balancers that watch, others take over once these give up. Together with the limit of one attempt
+/// and `DEBOUNCE_INTERVAL`, this must leave time to list the store within the three seconds in which
+/// a change has to be in force.
+const MAX_WATCH_WAIT_MS: DurationMs = DurationMs(1_000);
 
 /// Pause after a change, so that a burst of changes costs few calls.
 const DEBOUNCE_INTERVAL: Duration = Duration::from_millis(300);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -22,14 +22,11 @@
 use crate::object::{Listing, ObjectKey, StoredObject, WatchResult};
 use crate::protocol::{ObjectApi, ObjectBody, REVISION_GONE_STATUS, decode_object};
 
-/// The answer to a watch must arrive within this time after the requested wait has passed.
-const WATCH_MARGIN_MS: u64 = 1000;
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreOptions {
     /// Limit of one call with all its retries and, after a lost response, the check of its outcome.
     pub deadline_ms: DurationMs,
-    /// Limit of one attempt.
+    /// Limit of one attempt; for a watch, counted from the end of the requested wait.
     pub attempt_ms: DurationMs,
     /// Seed of the backoff jitter.
     pub seed: u64,
@@ -217,8 +214,7 @@
         wait: DurationMs,
     ) -> Result<CollectionChanges, StoreError> {
         let call = self.dialect.watch(collection, from.revision(), wait);
-        let margin = Duration::from_millis(wait.get().saturating_add(WATCH_MARGIN_MS));
-        let deadline = Instant::now() + margin;
+        let deadline = Instant::now() + wait.into() + self.options.attempt_ms.into();
         let answer = self.send_expecting_ok(self.request(&call), deadline).await;
         let answer = answer.map_err(AttemptError::store_error)?;
         let era = answer.era;
