Let a balancer that is cut off from all others watch the store

So those that watched the store when the cut began still counted as watching, and the balancer neither asked the store, which it may reach, nor stopped refusing flows of routes that it does not know.

A balancer that is cut off now counts no other one as watching.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -222,12 +222,14 @@
         self.watchers(now).count()
     }
 
-    /// Returns the other balancers that watch the platform store.
+    /// Returns the other balancers that watch the platform store. A balancer that is cut off knows of
+    /// none, because what the others said before may no longer hold.
     fn watchers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
         let local_address = self.gossip.local_peer().address;
+        let is_isolated = self.gossip.is_isolated();
         let balancers = self.gossip.view().reachable_balancers(now);
         balancers
-            .filter(move |peer| peer.address != local_address)
+            .filter(move |peer| !is_isolated && peer.address != local_address)
             .filter(|peer| peer.balancer().is_some_and(|status| status.is_watching))
     }
 
