Ask another balancer or the store if a newer version is not served

A balancer that does not watch fetched from the balancer with the newest announced version, over and over: one that had died, was cut off or had restarted with an older version was asked again until the membership had noticed, although others had the version as well. In between it listed the store and waited up to 2.5 s for an answer and 1.6 s before the next attempt; if the store answered with an older version, the loop had no pause at all.

A balancer that did not serve what it announced is now left out for 2 s; others are asked, and then the store, also by a balancer that need not watch. These decisions are in the state machine, not in the loop that performs them.

Test: a_balancer_asks_others_and_then_the_store_if_a_newer_version_is_not_served (no counterpart fails on the earlier code, which had the decision in the loop).

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -20,6 +20,10 @@
 /// answered or fails within this time, and a change is to be in force half a second later.
 const ROUTES_CURRENT_FOR_MS: DurationMs = DurationMs(2_500);
 
+/// A balancer from which a newer configuration could not be fetched is asked again after this time; until
+/// then, others or the platform store are asked.
+const FETCH_RETRY_MS: DurationMs = DurationMs(2_000);
+
 /// Number of balancers that watch the platform store, whatever the size of the deployment. With
 /// several, some usually remain when a failure domain is lost.
 const WATCHERS: usize = 3;
@@ -76,6 +80,8 @@
     /// Service addresses of earlier configurations that the current one no longer contains, sorted.
     removed_routes: Vec<SocketAddr>,
     routes_confirmed_at: Option<TimeMs>,
+    /// Balancers that did not serve the version that they announced, and when they were asked.
+    failed_fetches: Vec<(SocketAddr, TimeMs)>,
     /// The directory was read at least once since the process started.
     is_directory_read: bool,
     /// Until then, the first listing of the directory may lack agents.
@@ -92,6 +98,7 @@
             routes: RouteTable::default(),
             removed_routes: Vec::new(),
             routes_confirmed_at: None,
+            failed_fetches: Vec::new(),
             is_directory_read: false,
             directory_incomplete_until: TimeMs::default(),
             cached_owners: HashMap::new(),
@@ -150,6 +157,32 @@
         true
     }
 
+    /// Applies routes that the balancer `peer` served; returns whether they are newer than those in
+    /// force. After a restart, it may serve an older version than its last record announced.
+    pub fn apply_fetched(
+        &mut self,
+        now: TimeMs,
+        peer: SocketAddr,
+        configuration: Configuration,
+    ) -> bool {
+        let is_newer = self.apply(configuration);
+        if self
+            .newer_balancers(now)
+            .any(|(_, address)| address == peer)
+        {
+            self.record_failed_fetch(now, peer);
+        }
+        is_newer
+    }
+
+    /// Records that the balancer `peer` did not serve its configuration.
+    pub fn record_failed_fetch(&mut self, now: TimeMs, peer: SocketAddr) {
+        self.failed_fetches.retain(|(address, failed_at)| {
+            *address != peer && now.since(*failed_at) < FETCH_RETRY_MS
+        });
+        self.failed_fetches.push((peer, now));
+    }
+
     /// Records that the platform store confirmed the routes in force.
     pub const fn confirm(&mut self, now: TimeMs) {
         self.routes_confirmed_at = Some(now);
@@ -180,7 +213,7 @@
     ///
     /// A watching balancer gets changes from the platform store; `latest_balancer` shows one that its
     /// watch missed. One that does not watch, because others do or because the store does not answer
-    /// it, fetches newer routes from a balancer.
+    /// it, fetches newer routes from a balancer, and asks the store if no balancer serves them.
     pub fn configuration_task(&self, now: TimeMs) -> ConfigurationTask {
         let local_peer = self.gossip.local_peer();
         let is_watching = local_peer
@@ -188,21 +221,28 @@
             .is_some_and(|status| status.is_watching);
         if !is_watching && let Some(peer) = self.latest_balancer(now) {
             ConfigurationTask::FetchFrom(peer)
-        } else if self.should_watch(now) {
+        } else if self.should_watch(now) || self.is_behind(now) {
             ConfigurationTask::Watch
         } else {
             ConfigurationTask::Idle
         }
     }
 
-    /// Returns the balancer with the newest routes, if they are newer than the local ones. Ties are
-    /// broken by rank relative to the local balancer, which spreads the fetches of all balancers over
-    /// those with the newest routes.
+    /// Returns the balancer with the newest routes, if they are newer than the local ones and it has
+    /// not failed to serve them lately. Ties are broken by rank relative to the local balancer, which
+    /// spreads the fetches of all balancers over those with the newest routes.
     pub fn latest_balancer(&self, now: TimeMs) -> Option<SocketAddr> {
         let local_rank = watch_rank(self.gossip.local_peer().address);
-        let latest = self.newer_balancers(now).max_by_key(|(version, address)| {
-            (*version, (watch_rank(*address) ^ local_rank).reverse_bits())
-        });
+        let has_failed = |peer| {
+            let mut failed = self.failed_fetches.iter();
+            failed.any(|(address, at)| *address == peer && now.since(*at) < FETCH_RETRY_MS)
+        };
+        let newer = self.newer_balancers(now);
+        let latest = newer
+            .filter(|(_, address)| !has_failed(*address))
+            .max_by_key(|(version, address)| {
+                (*version, (watch_rank(*address) ^ local_rank).reverse_bits())
+            });
         latest.map(|(_, address)| address)
     }
 
--- a/crates/opaque/tests/watchers.rs
+++ b/crates/opaque/tests/watchers.rs
@@ -5,7 +5,7 @@
 use common::{Fleet, configuration, flow, opening, peer_address};
 use googletest::prelude::*;
 use hawthorntide_opaque::{BalancerDecision, ConfigurationTask, GossipEvent};
-use hawthorntide_types::ResultCode;
+use hawthorntide_types::{DurationMs, ResultCode};
 
 /// Publishes whether each balancer watches, until the roles are stable. The store does not answer the
 /// balancers in `unanswered`. Returns the watchers.
@@ -148,3 +148,50 @@
     let decision = behind.place(now, &opening);
     expect_that!(decision, eq(&BalancerDecision::Reset(ResultCode::NotFound)));
 }
+
+// A balancer that has died or restarted may not serve the version that its last record announced. It must
+// not be asked over and over: another balancer, or the store, has the version.
+#[gtest]
+fn a_balancer_asks_others_and_then_the_store_if_a_newer_version_is_not_served() {
+    let mut fleet = Fleet::new(6, 2, 1);
+    let watchers = elect_watchers(&mut fleet, &[]);
+    let idle = (1..=6).find(|number| !watchers.contains(number)).unwrap();
+    for number in &watchers[..2] {
+        let balancer = fleet.balancers.get_mut(number).unwrap();
+        balancer.apply(configuration(2, 1));
+        let role = balancer.role(true);
+        fleet.gossip(*number, GossipEvent::LocalRoleChanged(role));
+    }
+    let now = fleet.now;
+    let balancer = fleet.balancers.get_mut(&idle).unwrap();
+    let mut asked = Vec::new();
+    for _ in 0..2 {
+        let ConfigurationTask::FetchFrom(peer) = balancer.configuration_task(now) else {
+            break;
+        };
+        asked.push(peer);
+        if asked.len() == 1 {
+            balancer.record_failed_fetch(now, peer);
+        } else {
+            balancer.apply_fetched(now, peer, configuration(1, 1));
+        }
+    }
+    asked.sort();
+    let announced = watchers[..2].iter().map(|number| peer_address(*number));
+    expect_that!(asked, eq(&announced.collect::<Vec<_>>()));
+    expect_that!(
+        balancer.configuration_task(now),
+        eq(ConfigurationTask::Watch)
+    );
+    let later = now + DurationMs(2_500);
+    let task = balancer.configuration_task(later);
+    expect_that!(
+        task,
+        matches_pattern!(ConfigurationTask::FetchFrom(anything()))
+    );
+    balancer.apply(configuration(2, 1));
+    expect_that!(
+        balancer.configuration_task(later),
+        eq(ConfigurationTask::Idle)
+    );
+}
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -305,19 +305,20 @@
         let now = self.clock.now();
         let is_watching = match event {
             ConfigurationEvent::Read(configuration) => {
-                let version = configuration.version;
-                let routes = configuration.routes.len();
-                let is_newer = self.machine().apply(configuration);
-                if is_newer {
-                    self.metrics.version.set(version.get() as f64);
-                }
-                log::info!(
-                    target: CONFIGURATION_LOG,
-                    version:% = version,
-                    routes,
-                    is_newer;
-                    "relay: Configuration read."
-                );
+                self.apply(configuration, BalancerMachine::apply);
+                return;
+            }
+            ConfigurationEvent::Fetched {
+                peer,
+                configuration,
+            } => {
+                self.apply(configuration, |machine, configuration| {
+                    machine.apply_fetched(now, peer, configuration)
+                });
+                return;
+            }
+            ConfigurationEvent::FetchFailed(peer) => {
+                self.machine().record_failed_fetch(now, peer);
                 return;
             }
             ConfigurationEvent::Current => {
@@ -332,6 +333,27 @@
         self.gossip(GossipEvent::LocalRoleChanged(role));
     }
 
+    /// Applies a configuration by `apply`, which returns whether it is newer than the one in force.
+    fn apply(
+        &self,
+        configuration: Configuration,
+        apply: impl FnOnce(&mut BalancerMachine, Configuration) -> bool,
+    ) {
+        let version = configuration.version;
+        let routes = configuration.routes.len();
+        let is_newer = apply(&mut self.machine(), configuration);
+        if is_newer {
+            self.metrics.version.set(version.get() as f64);
+        }
+        log::info!(
+            target: CONFIGURATION_LOG,
+            version:% = version,
+            routes,
+            is_newer;
+            "relay: Configuration read."
+        );
+    }
+
     /// Logs the start and the end of a watch, with the number of other balancers that watch.
     fn report_watching(&self, now: TimeMs, is_watching: bool) {
         let machine = self.machine();
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -39,8 +39,15 @@
 
 #[derive(Clone, Debug)]
 pub(crate) enum ConfigurationEvent {
-    /// A configuration was read; it may not be newer than the one in force.
+    /// The store returned a configuration; it may not be newer than the one in force.
     Read(Configuration),
+    /// Another balancer served its configuration; it may not be newer than the one in force.
+    Fetched {
+        peer: SocketAddr,
+        configuration: Configuration,
+    },
+    /// Another balancer did not serve its configuration.
+    FetchFailed(SocketAddr),
     /// The store confirmed that the last `Read` configuration is the latest one.
     Current,
     /// The store did not answer, or this process does not watch it.
@@ -68,20 +75,12 @@
             wait_while_idle(&task).await;
             continue;
         }
-        if let ConfigurationTask::FetchFrom(peer) = current_task
-            && fetch_from_peer(&peers, peer, &mut on_event).await
-        {
-            has_configuration = true;
+        if let ConfigurationTask::FetchFrom(peer) = current_task {
+            has_configuration |= fetch_from_peer(&peers, peer, &mut on_event).await;
             on_event(ConfigurationEvent::NotWatching);
-            // A restarted peer may serve an older version than gossip announced; do not retry at once.
-            sleep(TASK_POLL_INTERVAL).await;
             continue;
         }
-        let step = match current_task {
-            ConfigurationTask::Watch => cursor.next_step(MAX_WATCH_WAIT_MS),
-            ConfigurationTask::FetchFrom(_) | ConfigurationTask::Idle => WatchStep::List,
-        };
-        let result = match step {
+        let result = match cursor.next_step(MAX_WATCH_WAIT_MS) {
             WatchStep::List => list(&store, &mut cursor, &mut on_event).await,
             WatchStep::Watch { from, wait_ms } => tokio::select! {
                 result = watch(&store, from, wait_ms, &mut cursor, &mut on_event) => result,
@@ -104,13 +103,9 @@
                 if !cursor.failed(error) {
                     continue;
                 }
-                match current_task {
-                    // The other balancer has just failed to serve the configuration.
-                    ConfigurationTask::FetchFrom(_) => backoff.pause().await,
-                    ConfigurationTask::Watch | ConfigurationTask::Idle => tokio::select! {
-                        () = backoff.pause() => {}
-                        () = wait_for_peer(&task) => {}
-                    },
+                tokio::select! {
+                    () = backoff.pause() => {}
+                    () = wait_for_peer(&task) => {}
                 }
             }
         }
@@ -135,11 +130,15 @@
     match peers.fetch(peer).await {
         Ok(configuration) => {
             log::info!(peer:% = peer, version:% = configuration.version; "relay: Configuration fetched from another balancer.");
-            on_event(ConfigurationEvent::Read(configuration));
+            on_event(ConfigurationEvent::Fetched {
+                peer,
+                configuration,
+            });
             true
         }
         Err(error) => {
             log::warn!(peer:% = peer; "relay: Cannot fetch the configuration from another balancer: {error}.");
+            on_event(ConfigurationEvent::FetchFailed(peer));
             false
         }
     }
