Confirm no routes by a configuration that cannot be read

Cause: a configuration that cannot be parsed was logged and ignored, and the answer of the store still counted as a confirmation of the routes in force. A single malformed route was skipped in the same way.

If single routes cannot be read, the others are in force, and packets to unknown or removed addresses are dropped instead of refused.

Test: no_unknown_route_is_refused_while_the_latest_configuration_is_unreadable failed before for both kinds (reset instead of no answer).

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -409,11 +409,11 @@
 
     /// Handles a packet to a service address without a route. Resets the flow if the route was
     /// removed, and a new flow also if the routes are current. Otherwise drops the packet, because
-    /// a new route may not have arrived yet.
+    /// a new route may not have arrived yet, or could not be read.
     fn handle_unrouted(&self, now: TimeMs, segment: &Segment) -> BalancerDecision {
         let address = segment.flow.service_address;
         let was_removed = self.removed_routes.binary_search(&address).is_ok();
-        if segment.kind == SegmentKind::Reset {
+        if segment.kind == SegmentKind::Reset || self.routes.has_unreadable_routes() {
             return BalancerDecision::Drop(ResultCode::NotFound);
         }
         if was_removed || (segment.is_opening() && self.is_current(now)) {
--- a/crates/opaque/src/route.rs
+++ b/crates/opaque/src/route.rs
@@ -36,6 +36,10 @@
     pub routes: Vec<Route>,
     /// Idle timeout: the state of a flow may be removed after this time without packets.
     pub flow_idle_ms: DurationMs,
+    /// The operator's configuration has routes that could not be read. Absent in configurations of
+    /// earlier builds.
+    #[serde(default)]
+    pub has_unreadable_routes: bool,
 }
 
 /// Routes in force; their version never decreases.
@@ -56,6 +60,7 @@
             version,
             routes,
             flow_idle_ms,
+            has_unreadable_routes: false,
         }
     }
 }
@@ -111,6 +116,12 @@
         self.configuration.as_ref()
     }
 
+    /// Returns whether a service address without a route may have one that could not be read.
+    pub fn has_unreadable_routes(&self) -> bool {
+        let configuration = self.configuration.as_ref();
+        configuration.is_some_and(|it| it.has_unreadable_routes)
+    }
+
     pub fn find(&self, service_address: SocketAddr) -> Option<&Route> {
         let routes = &self.configuration.as_ref()?.routes;
         let index = routes.binary_search_by_key(&service_address, |route| route.service_address);
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -182,7 +182,7 @@
     let listing = store
         .list_collection(Collection::Configuration, Freshness::Current)
         .await?;
-    report_latest(&listing.objects, on_event);
+    report_latest(&listing.objects, on_event)?;
     on_event(ConfigurationEvent::Current);
     cursor.listed(listing.position);
     Ok(())
@@ -198,7 +198,7 @@
     let page = store
         .watch_collection(Collection::Configuration, from, wait_ms)
         .await?;
-    report_latest(&page.changes, on_event);
+    report_latest(&page.changes, on_event)?;
     on_event(ConfigurationEvent::Current);
     if cursor.is_interrupted() {
         log::info!(from:% = from, reached:% = page.position; "relay: Watch of the configuration resumed.");
@@ -210,13 +210,24 @@
     Ok(())
 }
 
-fn report_latest(objects: &[ObjectBody], on_event: &mut impl FnMut(ConfigurationEvent)) {
+/// Reports the latest configuration. One that cannot be read is an error, so that it is read again and
+/// no answer of the store confirms the routes in force meanwhile.
+fn report_latest(
+    objects: &[ObjectBody],
+    on_event: &mut impl FnMut(ConfigurationEvent),
+) -> Result<(), StoreError> {
     // Only the latest version matters; earlier ones of a burst are skipped.
     let Some(latest) = objects.last() else {
-        return;
+        return Ok(());
     };
     match parse_configuration(&latest.value) {
-        Ok(configuration) => on_event(ConfigurationEvent::Read(configuration)),
-        Err(error) => log::error!("relay: Invalid configuration ignored: {error}."),
+        Ok(configuration) => {
+            on_event(ConfigurationEvent::Read(configuration));
+            Ok(())
+        }
+        Err(error) => {
+            log::error!(revision:% = latest.revision; "relay: Configuration unreadable: {error}.");
+            Err(StoreError::Malformed)
+        }
     }
 }
--- a/crates/relay/tests/configuration_in_time.rs
+++ b/crates/relay/tests/configuration_in_time.rs
@@ -2,14 +2,19 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hawthorntide_standins::{ProxyMode, Store, TcpProxy};
+use hawthorntide_standins::{CallError, Caller, ProxyMode, Router, Store, TcpProxy};
 use hawthorntide_types::NodeId;
+use serde_json::json;
 use tokio::time::sleep;
 
-use common::{APPLY_TIMEOUT, PEER_PORT, TEST_TIMEOUT, address, has_version, route, spawn_balancer};
+use common::{
+    APPLY_TIMEOUT, PEER_PORT, TEST_TIMEOUT, address, becomes_true, has_version, route, spawn_agent,
+    spawn_balancer,
+};
 
 /// Time after which the balancers have settled which of them watch.
 const ELECTION_TIME: Duration = Duration::from_secs(2);
@@ -48,3 +53,31 @@
     store.configure(7, &[route(1)]);
     expect_true!(has_version(last, 7, APPLY_TIMEOUT).await);
 }
+
+// Guards against a balancer that takes the answer of the store for a confirmation of its routes although it
+// cannot read the latest configuration: it would refuse flows of the routes that only that one has.
+#[gtest]
+#[tokio::test]
+async fn no_unknown_route_is_refused_while_the_latest_configuration_is_unreadable() {
+    let store_address = address(69, 27_730);
+    let store = Store::bind(store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let _balancer = spawn_balancer(61, 62, store_address).await;
+    let (_agent, _upstream) = spawn_agent(62, 61, store_address).await;
+    let router = Arc::new(Router::spawn([(address(61, 27_721), address(61, 27_722))]));
+    let is_ready = || router.ready_count() == 1;
+    expect_true!(becomes_true(is_ready, TEST_TIMEOUT).await);
+    let mut caller = Caller::bind(address(63, 27_721), Arc::clone(&router)).await;
+    let caller = caller.as_mut().unwrap();
+    let unknown = route(2).service_address;
+    expect_that!(caller.open(unknown).await.err(), some(eq(CallError::Reset)));
+    for unreadable in [json!("five"), json!(5)] {
+        store.configure_unreadable(unreadable);
+        sleep(APPLY_TIMEOUT).await;
+        let refusal = caller.open(unknown).await.err();
+        expect_that!(refusal, some(eq(CallError::Timeout)));
+    }
+    store.configure(7, &[route(1)]);
+    expect_true!(has_version(61, 7, APPLY_TIMEOUT).await);
+    expect_that!(caller.open(unknown).await.err(), some(eq(CallError::Reset)));
+}
