Rely only on watching balancers that are reached directly

Found by looking for the same cause elsewhere: a balancer that relies on others must learn at once that the store does not answer them any more. If it has no path to them but agents still report them alive, they stay reachable, and what they say arrives late, through the gossip of agents. With the store silent for them as well, the two delays add up to about the 3 s in which a change has to be in force.

A balancer that left three probes of this process unanswered in a row no longer counts as watching here, so the process watches the store itself after about a second.

Test: a_balancer_without_a_path_to_the_watching_ones_watches_the_store failed before (idle).

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -262,14 +262,16 @@
         self.watchers(now).count()
     }
 
-    /// Returns the other balancers that watch the platform store. A balancer that is cut off knows of
-    /// none, because what the others said before may no longer hold.
+    /// Returns the other balancers that watch the platform store and would say at once if the store did
+    /// not answer them any more. Those to which this process has no direct path are left out, and all
+    /// while it is cut off.
     fn watchers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
         let local_address = self.gossip.local_peer().address;
         let is_isolated = self.gossip.is_isolated();
-        let balancers = self.gossip.view().reachable_balancers(now);
-        balancers
+        let view = self.gossip.view();
+        view.reachable_balancers(now)
             .filter(move |peer| !is_isolated && peer.address != local_address)
+            .filter(|peer| view.has_direct_path(peer.address))
             .filter(|peer| peer.balancer().is_some_and(|status| status.is_watching))
     }
 
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -214,6 +214,13 @@
         index.is_ok_and(|index| self.peers[index].is_unreachable(now))
     }
 
+    /// Returns whether the peer answers probes of this process, so that its messages arrive without the
+    /// detour through others.
+    pub(crate) fn has_direct_path(&self, address: SocketAddr) -> bool {
+        let index = self.index(address);
+        index.is_ok_and(|index| self.peers[index].unanswered_probes < MAX_UNANSWERED_PROBES)
+    }
+
     pub fn reachable_balancers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
         self.peers
             .iter()
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -168,6 +168,8 @@
     incarnations: u64,
     /// Processes that are partitioned from all others.
     pub partitioned: BTreeSet<u8>,
+    /// Pairs of sender and receiver between which messages are lost.
+    pub broken_links: BTreeSet<(u8, u8)>,
     pub hops: usize,
     /// Flows that agents reset.
     pub reset_flows: Vec<FlowKey>,
@@ -189,6 +191,7 @@
             is_directory_incomplete: false,
             incarnations: 0,
             partitioned: BTreeSet::new(),
+            broken_links: BTreeSet::new(),
             hops: 0,
             reset_flows: Vec::new(),
             discarded_flows: Vec::new(),
@@ -406,7 +409,10 @@
 
     fn deliver_message(&mut self, from: SocketAddr, to: SocketAddr, message: PeerMessage) {
         let (sender, receiver) = (number_of(from), number_of(to));
-        if self.partitioned.contains(&sender) || self.partitioned.contains(&receiver) {
+        if self.partitioned.contains(&sender)
+            || self.partitioned.contains(&receiver)
+            || self.broken_links.contains(&(sender, receiver))
+        {
             return;
         }
         match message {
--- a/crates/opaque/tests/watchers.rs
+++ b/crates/opaque/tests/watchers.rs
@@ -82,6 +82,24 @@
     expect_that!(decision, eq(&BalancerDecision::Drop(ResultCode::NotFound)));
 }
 
+// Agents report the watching balancers alive to one that has no path to these. It would learn late that the
+// store does not answer them any more, so it must watch the store itself.
+#[gtest]
+fn a_balancer_without_a_path_to_the_watching_ones_watches_the_store() {
+    let mut fleet = Fleet::new(4, 10, 1);
+    let watchers = elect_watchers(&mut fleet, &[]);
+    let last = (1..=4).find(|number| !watchers.contains(number)).unwrap();
+    for watcher in watchers {
+        fleet.broken_links.insert((watcher, last));
+        fleet.broken_links.insert((last, watcher));
+    }
+    fleet.run_for(2_500);
+    let balancer = &fleet.balancers[&last];
+    expect_that!(balancer.gossip().is_isolated(), eq(false));
+    let task = balancer.configuration_task(fleet.now);
+    expect_that!(task, eq(ConfigurationTask::Watch));
+}
+
 // A balancer must not keep old routes unnoticed while another one has newer routes.
 #[gtest]
 fn a_newer_version_of_one_is_noticed_by_all() {
