Leave all connections to the store once a call gets no answer

Found by looking for the cause of the late configuration elsewhere: what is known of the store may come from a connection that has been silent for a while.

What callers would see: changes in force late.

A call without an answer now replaces the pool; calls in flight go on.

The emulated store and the proxy of the tests can silence all open connections. Test: one_silent_connection_makes_a_client_leave_all_others failed before (the second watch got no answer). change_is_in_force_in_time_after_all_connections_ to_the_store_fell_silent (balancers for opaque flows) passed before as well: few of their connections are idle at a time. It is kept as a guard.

--- a/crates/emulator/src/store/fault.rs
+++ b/crates/emulator/src/store/fault.rs
@@ -78,6 +78,11 @@
         self.shared.lock().lose_next_answers = count;
     }
 
+    /// Silences all open connections for good, without closing them. New connections are served.
+    pub fn silence_connections(&self) {
+        self.shared.silence_connections();
+    }
+
     pub fn counts(&self) -> CallCounts {
         self.shared.lock().counts
     }
--- a/crates/emulator/src/store/serve.rs
+++ b/crates/emulator/src/store/serve.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
+use std::pin::pin;
 use std::sync::Arc;
 
 use gotham::hyper::Request;
@@ -123,6 +124,7 @@
 async fn serve(stream: TcpStream, peer: SocketAddr, router: Router, store: StoreState) {
     let closer = ConnectionCloser::default();
     let handler = Arc::new(router);
+    let mut silence = store.0.watch_silence();
     let service = service_fn(|request: Request<Incoming>| {
         let handler = Arc::clone(&handler);
         let (closer, store) = (closer.clone(), store.clone());
@@ -147,11 +149,14 @@
     });
     let _ = stream.set_nodelay(true);
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
     tokio::select! {
         // The close request is polled first, because the response that must not be sent becomes ready at
         // the same moment.
         biased;
         () = closer.0.notified() => {}
-        _ = connection => {}
+        // The connection stays open and is not polled any more.
+        Ok(()) = silence.changed() => std::future::pending().await,
+        _ = &mut connection => {}
     }
 }
--- a/crates/emulator/src/store/state.rs
+++ b/crates/emulator/src/store/state.rs
@@ -22,6 +22,8 @@
     state: Mutex<State>,
     faults: watch::Sender<StoreFaults>,
     revision_sender: watch::Sender<Revision>,
+    /// Notified when all open connections fall silent.
+    silence_sender: watch::Sender<()>,
 }
 
 #[derive(Debug)]
@@ -88,6 +90,7 @@
             state: Mutex::new(state),
             faults: watch::Sender::default(),
             revision_sender: watch::Sender::new(Revision::NONE),
+            silence_sender: watch::Sender::default(),
         }
     }
 
@@ -111,6 +114,14 @@
         self.revision_sender.subscribe()
     }
 
+    pub(super) fn watch_silence(&self) -> watch::Receiver<()> {
+        self.silence_sender.subscribe()
+    }
+
+    pub(super) fn silence_connections(&self) {
+        self.silence_sender.send_replace(());
+    }
+
     /// Returns what answers report as the era of the store.
     pub(super) fn era_header(&self) -> Option<String> {
         match self.faults().era_header {
--- a/crates/emulator/tests/store_faults.rs
+++ b/crates/emulator/tests/store_faults.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use googletest::prelude::*;
 use hawthorntide_emulator::{StoreFaults, StoreServer, StoreServerOptions};
 use hawthorntide_store::{
     ObjectKey, ObjectKind, ObjectStore, StoreOptions, StoredObject, WriteId, WriteOutcome,
@@ -125,3 +126,28 @@
         tokio::runtime::Runtime::new().unwrap().block_on(run(seed, first, second))?;
     }
 }
+
+// Guards against a client that goes from one silent connection of its pool to the next: each costs the time
+// of an attempt, and a watch is not answered in time although the store serves new connections.
+#[gtest]
+#[tokio::test]
+async fn one_silent_connection_makes_a_client_leave_all_others() {
+    let options = StoreServerOptions::default();
+    let server = StoreServer::bind("127.0.0.1:0".parse().unwrap(), options).unwrap();
+    let store = ObjectStore::open(server.address(), StoreOptions::default()).unwrap();
+    let key = ObjectKey::new(ObjectKind::Profile, "day").unwrap();
+    // Concurrent calls leave as many idle connections.
+    server.handle().set_faults(StoreFaults {
+        delay_ms: DurationMs(50),
+        ..StoreFaults::default()
+    });
+    let reads = tokio::join!(store.get(&key), store.get(&key), store.get(&key));
+    expect_that!([reads.0, reads.1, reads.2], each(ok(none())));
+    server.handle().silence_connections();
+    let no_wait_ms = DurationMs(0);
+    expect_that!(
+        store.watch(Version::NONE, no_wait_ms).await,
+        err(anything())
+    );
+    expect_that!(store.watch(Version::NONE, no_wait_ms).await, ok(anything()));
+}
--- a/crates/relay/tests/configuration_in_time.rs
+++ b/crates/relay/tests/configuration_in_time.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use hawthorntide_standins::{CallError, Caller, ProxyMode, Router, Store, TcpProxy};
@@ -54,6 +54,34 @@
     expect_true!(has_version(last, 7, APPLY_TIMEOUT).await);
 }
 
+// Guards against balancers that wait on one silent connection to the store after the other, although the
+// store serves new ones.
+#[gtest]
+#[tokio::test]
+async fn change_is_in_force_in_time_after_all_connections_to_the_store_fell_silent() {
+    let (store_address, proxy_address) = (address(79, 27_730), address(78, 27_730));
+    let store = Store::bind(store_address).await.unwrap();
+    let proxy = TcpProxy::bind(proxy_address, store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let hosts = [71, 72, 73, 74];
+    let mut balancers = Vec::new();
+    for host in hosts {
+        balancers.push(spawn_balancer(host, hosts[0], proxy_address).await);
+    }
+    sleep(ELECTION_TIME).await;
+    for version in [5, 7, 9] {
+        proxy.silence_connections();
+        store.configure(version, &[route(1), route(2)]);
+        let end = Instant::now() + APPLY_TIMEOUT;
+        for host in hosts {
+            expect_true!(
+                has_version(host, version, end.saturating_duration_since(Instant::now())).await
+            );
+        }
+        sleep(REWATCH_TIME).await;
+    }
+}
+
 // Guards against a balancer that takes the answer of the store for a confirmation of its routes although it
 // cannot read the latest configuration: it would refuse flows of the routes that only that one has.
 #[gtest]
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -4,7 +4,7 @@
 mod removal;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -63,7 +63,8 @@
 /// response was lost is looked up before its outcome is reported.
 #[derive(Debug)]
 pub struct ObjectStore {
-    client: Client,
+    /// Replaced when a call gets no answer, so that later calls use new connections.
+    client: Mutex<Client>,
     base: String,
     dialect: Arc<dyn StoreDialect>,
     options: StoreOptions,
@@ -109,10 +110,8 @@
         options: StoreOptions,
         dialect: Arc<dyn StoreDialect>,
     ) -> Result<Self, StoreError> {
-        let builder = Client::builder().no_proxy().tcp_nodelay(true);
-        let client = builder.build().map_err(|_| StoreError::Unavailable)?;
         Ok(Self {
-            client,
+            client: Mutex::new(open_client()?),
             base: format!("http://{address}"),
             dialect,
             options,
@@ -300,11 +299,12 @@
 
     fn request(&self, call: &StoreRequest) -> RequestBuilder {
         let url = format!("{}{}", self.base, call.path);
+        let client = self.client();
         let mut request = match call.method {
-            StoreMethod::Get => self.client.get(url),
-            StoreMethod::Post => self.client.post(url),
-            StoreMethod::Put => self.client.put(url),
-            StoreMethod::Delete => self.client.delete(url),
+            StoreMethod::Get => client.get(url),
+            StoreMethod::Post => client.post(url),
+            StoreMethod::Put => client.put(url),
+            StoreMethod::Delete => client.delete(url),
         };
         if let Some(version) = call.if_match {
             request = request.header("if-match", version.get());
@@ -345,13 +345,30 @@
                 count_call("unreachable".to_owned());
                 Err(AttemptError::Refused(StoreError::Unavailable))
             }
-            Ok(Err(_)) | Err(_) => {
+            lost => {
                 count_call("lost".to_owned());
+                let is_unanswered = lost.is_err();
+                if is_unanswered {
+                    self.leave_connections();
+                }
                 Err(AttemptError::Ambiguous)
             }
         }
     }
 
+    /// Makes later calls use new connections: those that were open when a call got no answer may all
+    /// be silent, and each would cost the time of an attempt. Calls in flight are not affected.
+    fn leave_connections(&self) {
+        match open_client() {
+            Ok(client) => *self.client() = client,
+            Err(error) => log::warn!("store: Connections are kept after a silent call: {error}."),
+        }
+    }
+
+    fn client(&self) -> MutexGuard<'_, Client> {
+        self.client.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits for the backoff before a retry. Returns false, without waiting, if the retry budget is
     /// exhausted or the backoff would exceed the deadline.
     async fn wait_for_retry(&self, attempt: u32, deadline: Instant) -> bool {
@@ -374,11 +391,16 @@
         deadline.min(Instant::now() + Duration::from(self.options.attempt_ms))
     }
 
-    fn budget(&self) -> std::sync::MutexGuard<'_, RetryBudget> {
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn open_client() -> Result<Client, StoreError> {
+    let builder = Client::builder().no_proxy().tcp_nodelay(true);
+    builder.build().map_err(|_| StoreError::Unavailable)
+}
+
 fn count_call(outcome: String) {
     metrics::counter!("hawthorntide_store_calls_total", "outcome" => outcome).increment(1);
 }
