Notice a silent watch of profiles and services in time

A balancer that holds a watcher slot counts as watching while its call waits, 20 s and 0.8 s more. If the connections to the store fall silent and the balancer that accepted a change dies before it told others, nobody asks the store until then. The first retry waited for 1 to 2 s in addition.

A watch now waits for 2 s and is repeated within 0.25 s; further retries pause as before. At the design size each watch is woken by a renewal every second anyway; smaller deployments make more calls than before (docs/CAPACITY.md).

--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -27,9 +27,12 @@
 
 /// Tick interval of the state machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
-/// Long-poll time of a watch request.
-const WATCH_MS: DurationMs = DurationMs(20_000);
-/// Delay before a retry after a failed request; jitter adds up to the same time again.
+/// Long-poll time of a watch request. A silent connection is noticed after this time and the limit of
+/// one attempt; a change must be in force four seconds after it was confirmed.
+const WATCH_MS: DurationMs = DurationMs(2_000);
+/// Longest delay before the first retry after a failed request.
+const FIRST_RETRY_DELAY_MS: u64 = 250;
+/// Delay before further retries; jitter adds up to the same time again.
 const RETRY_DELAY_MS: u64 = 1000;
 /// Longest wait for the store to answer when the slot is released at shutdown.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -267,15 +270,25 @@
             (WatchStep::Watch { .. }, Ok(position)) => cursor.watched(position),
             (_, Err(error)) => {
                 log::warn!("platform: Watch failed and will be retried: {error}.");
+                let is_retried_soon = error != StoreError::RevisionGone && !cursor.is_interrupted();
                 if cursor.failed(error) {
-                    let jitter = rand::random::<u64>() % RETRY_DELAY_MS;
-                    sleep(Duration::from_millis(RETRY_DELAY_MS + jitter)).await;
+                    sleep(retry_delay(is_retried_soon)).await;
                 }
             }
         }
     }
 }
 
+/// Returns a random delay before a retry, so that balancers do not call at the same moment.
+fn retry_delay(is_retried_soon: bool) -> Duration {
+    let delay_ms = if is_retried_soon {
+        rand::random_range(0..FIRST_RETRY_DELAY_MS)
+    } else {
+        rand::random_range(RETRY_DELAY_MS..2 * RETRY_DELAY_MS)
+    };
+    Duration::from_millis(delay_ms)
+}
+
 /// Lists all objects and applies them; returns the position from which a watch continues.
 async fn list_and_apply(
     store: &ObjectStore,
--- a/crates/balancer/tests/operations.rs
+++ b/crates/balancer/tests/operations.rs
@@ -183,6 +183,27 @@
     expect_that!(after.list, le(4 + 2));
 }
 
+// Guards against a change that is not in force in time although the store answers: the connections on
+// which the balancers watch it fell silent without being closed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_in_time_after_all_connections_to_the_store_fell_silent() {
+    let d = deployment(&["bzh-rns", "bzh-rns", "bzh-rns"]).await;
+    // Slots are acquired after 5 s without a claim.
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    d.server.handle().silence_connections();
+    // The balancer that accepted the change died before it told the others.
+    let store = ObjectStore::open(d.server.address(), StoreOptions::default()).unwrap();
+    let profile = hawthorntide_configuration::check_profile(PROFILE, "p").unwrap();
+    let profile = serde_json::to_value(profile).unwrap();
+    let key = ObjectKey::new(ObjectKind::Profile, "day").unwrap();
+    let outcome = store.put_if(&key, &profile, Version::NONE).await;
+    let WriteOutcome::Accepted(version) = outcome else {
+        panic!("expected an accepted write, got {outcome:?}");
+    };
+    expect_that!(d.wait_for(version.get()).await, lt(IN_FORCE_TARGET));
+}
+
 // Guards against a confirmed change that the store lost and that nobody writes again: after a restart of
 // all balancers the older version would be in force. Also guards against a change of the new era that
 // the watches miss.
