Ask the store after two balancers that did not serve a newer version

With five or more balancers that announce a newer version and cannot be reached (their records arrive through agents), each fetch costs 0.5 s, so one of them is always due again: the store is never asked, although it may answer, and those behind the first four or five never are.

What callers would see: flows of removed routes placed, or of added ones dropped, for as long as a balancer is cut off from its siblings but neither from the agents nor from the store, in deployments with six or more balancers.

After two failed fetches the store is asked; if it does not answer, the two balancers that failed least recently are next. So a change takes 1 s and a listing at most, and each balancer is asked in the end.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -1,5 +1,6 @@
 //! State machine of a balancer: selects the agent for each packet of a caller.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -24,6 +25,10 @@
 /// then, others or the platform store are asked.
 const FETCH_RETRY_MS: DurationMs = DurationMs(2_000);
 
+/// Number of balancers that are asked in vain for a newer configuration before the platform store is. A
+/// balancer without a path to any other one must still have a change in force in time.
+const MAX_FAILED_FETCHES: usize = 2;
+
 /// Number of balancers that watch the platform store, whatever the size of the deployment. With
 /// several, some usually remain when a failure domain is lost.
 const WATCHERS: usize = 3;
@@ -80,8 +85,10 @@
     /// Service addresses of earlier configurations that the current one no longer contains, sorted.
     removed_routes: Vec<SocketAddr>,
     routes_confirmed_at: Option<TimeMs>,
-    /// Balancers that did not serve the version that they announced, and when they were asked.
+    /// Balancers that did not serve the version that they announced, and when they were last asked.
     failed_fetches: Vec<(SocketAddr, TimeMs)>,
+    /// Number of failed fetches since the platform store was last called.
+    fetches_since_store: usize,
     /// The directory was read at least once since the process started.
     is_directory_read: bool,
     /// Until then, the first listing of the directory may lack agents.
@@ -99,6 +106,7 @@
             removed_routes: Vec::new(),
             routes_confirmed_at: None,
             failed_fetches: Vec::new(),
+            fetches_since_store: 0,
             is_directory_read: false,
             directory_incomplete_until: TimeMs::default(),
             cached_owners: HashMap::new(),
@@ -177,15 +185,22 @@
 
     /// Records that the balancer `peer` did not serve its configuration.
     pub fn record_failed_fetch(&mut self, now: TimeMs, peer: SocketAddr) {
-        self.failed_fetches.retain(|(address, failed_at)| {
-            *address != peer && now.since(*failed_at) < FETCH_RETRY_MS
-        });
+        let view = self.gossip.view();
+        self.failed_fetches
+            .retain(|(address, _)| *address != peer && view.find(*address).is_some());
         self.failed_fetches.push((peer, now));
+        self.fetches_since_store += 1;
     }
 
     /// Records that the platform store confirmed the routes in force.
     pub const fn confirm(&mut self, now: TimeMs) {
         self.routes_confirmed_at = Some(now);
+        self.fetches_since_store = 0;
+    }
+
+    /// Records that the platform store did not answer.
+    pub const fn record_store_failure(&mut self) {
+        self.fetches_since_store = 0;
     }
 
     /// Returns the role to publish by gossip.
@@ -213,13 +228,15 @@
     ///
     /// A watching balancer gets changes from the platform store; `latest_balancer` shows one that its
     /// watch missed. One that does not watch, because others do or because the store does not answer
-    /// it, fetches newer routes from a balancer, and asks the store if no balancer serves them.
+    /// it, fetches newer routes from a balancer, and asks the store if two balancers in turn did not
+    /// serve them or none is left.
     pub fn configuration_task(&self, now: TimeMs) -> ConfigurationTask {
         let local_peer = self.gossip.local_peer();
         let is_watching = local_peer
             .balancer()
             .is_some_and(|status| status.is_watching);
-        if !is_watching && let Some(peer) = self.latest_balancer(now) {
+        let is_fetching = !is_watching && self.fetches_since_store < MAX_FAILED_FETCHES;
+        if is_fetching && let Some(peer) = self.latest_balancer(now) {
             ConfigurationTask::FetchFrom(peer)
         } else if self.should_watch(now) || self.is_behind(now) {
             ConfigurationTask::Watch
@@ -228,20 +245,25 @@
         }
     }
 
-    /// Returns the balancer with the newest routes, if they are newer than the local ones and it has
-    /// not failed to serve them lately. Ties are broken by rank relative to the local balancer, which
-    /// spreads the fetches of all balancers over those with the newest routes.
+    /// Returns the balancer from which to fetch newer routes than the local ones, if any: of those that
+    /// failed least recently, the one with the newest routes. Ties are broken by rank relative to the
+    /// local balancer, which spreads the fetches of all balancers over those with the newest routes.
     pub fn latest_balancer(&self, now: TimeMs) -> Option<SocketAddr> {
         let local_rank = watch_rank(self.gossip.local_peer().address);
-        let has_failed = |peer| {
+        let failed_at = |peer| {
             let mut failed = self.failed_fetches.iter();
-            failed.any(|(address, at)| *address == peer && now.since(*at) < FETCH_RETRY_MS)
+            failed
+                .find(|(address, _)| *address == peer)
+                .map(|(_, at)| *at)
         };
         let newer = self.newer_balancers(now);
         let latest = newer
-            .filter(|(_, address)| !has_failed(*address))
+            .filter(|(_, address)| {
+                failed_at(*address).is_none_or(|at| now.since(at) >= FETCH_RETRY_MS)
+            })
             .max_by_key(|(version, address)| {
-                (*version, (watch_rank(*address) ^ local_rank).reverse_bits())
+                let rank = (watch_rank(*address) ^ local_rank).reverse_bits();
+                (Reverse(failed_at(*address)), *version, rank)
             });
         latest.map(|(_, address)| address)
     }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -326,6 +326,10 @@
                 machine.confirm(now);
                 machine.should_watch(now)
             }
+            ConfigurationEvent::StoreFailed => {
+                self.machine().record_store_failure();
+                false
+            }
             ConfigurationEvent::NotWatching => false,
         };
         self.report_watching(now, is_watching);
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -50,7 +50,9 @@
     FetchFailed(SocketAddr),
     /// The store confirmed that the last `Read` configuration is the latest one.
     Current,
-    /// The store did not answer, or this process does not watch it.
+    /// The store did not answer.
+    StoreFailed,
+    /// This process does not watch the store.
     NotWatching,
 }
 
@@ -117,7 +119,7 @@
         log::info!("relay: History of the store gone; listing the configuration again.");
     } else {
         log::warn!("relay: Configuration not read: {error}.");
-        on_event(ConfigurationEvent::NotWatching);
+        on_event(ConfigurationEvent::StoreFailed);
     }
 }
 
