--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -170,6 +170,9 @@
     pub partitioned: BTreeSet<u8>,
     /// Pairs of sender and receiver between which messages are lost.
     pub broken_links: BTreeSet<(u8, u8)>,
+    /// One of this many messages is lost.
+    pub lost_one_of: Option<u64>,
+    messages: u64,
     pub hops: usize,
     /// Flows that agents reset.
     pub reset_flows: Vec<FlowKey>,
@@ -192,6 +195,8 @@
             incarnations: 0,
             partitioned: BTreeSet::new(),
             broken_links: BTreeSet::new(),
+            lost_one_of: None,
+            messages: 0,
             hops: 0,
             reset_flows: Vec::new(),
             discarded_flows: Vec::new(),
@@ -412,6 +417,7 @@
         if self.partitioned.contains(&sender)
             || self.partitioned.contains(&receiver)
             || self.broken_links.contains(&(sender, receiver))
+            || self.is_message_lost()
         {
             return;
         }
@@ -428,6 +434,12 @@
         }
     }
 
+    fn is_message_lost(&mut self) -> bool {
+        self.messages += 1;
+        self.lost_one_of
+            .is_some_and(|count| self.messages.is_multiple_of(count))
+    }
+
     fn deliver_to_agent(
         &mut self,
         to: SocketAddr,
@@ -606,7 +618,7 @@
         .collect()
 }
 
-fn number_of(address: SocketAddr) -> u8 {
+pub fn number_of(address: SocketAddr) -> u8 {
     match address.ip() {
         std::net::IpAddr::V4(ip) => ip.octets()[3],
         std::net::IpAddr::V6(_) => 0,
