Count no fetch that brought a newer version as failed

Found by reading: in a series of changes a balancer often announces the next version before it has served the last one.

Test: a_balancer_that_served_a_newer_version_is_asked_for_the_next_one failed before (the second task was not a fetch from the same balancer).

--- a/crates/balancer/src/store_link.rs
+++ b/crates/balancer/src/store_link.rs
@@ -270,9 +270,10 @@
             (WatchStep::Watch { .. }, Ok(position)) => cursor.watched(position),
             (_, Err(error)) => {
                 log::warn!("platform: Watch failed and will be retried: {error}.");
-                let is_retried_soon = error != StoreError::RevisionGone && !cursor.is_interrupted();
+                let is_first_failure =
+                    error != StoreError::RevisionGone && !cursor.is_interrupted();
                 if cursor.failed(error) {
-                    sleep(retry_delay(is_retried_soon)).await;
+                    sleep(retry_delay(is_first_failure)).await;
                 }
             }
         }
@@ -280,8 +281,8 @@
 }
 
 /// Returns a random delay before a retry, so that balancers do not call at the same moment.
-fn retry_delay(is_retried_soon: bool) -> Duration {
-    let delay_ms = if is_retried_soon {
+fn retry_delay(is_first_failure: bool) -> Duration {
+    let delay_ms = if is_first_failure {
         rand::random_range(0..FIRST_RETRY_DELAY_MS)
     } else {
         rand::random_range(RETRY_DELAY_MS..2 * RETRY_DELAY_MS)
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -166,7 +166,8 @@
     }
 
     /// Applies routes that the balancer `peer` served; returns whether they are newer than those in
-    /// force. After a restart, it may serve an older version than its last record announced.
+    /// force. If they are not, although it announced newer ones, it counts as one that did not serve
+    /// them: after a restart, it may have an older version.
     pub fn apply_fetched(
         &mut self,
         now: TimeMs,
@@ -174,10 +175,10 @@
         configuration: Configuration,
     ) -> bool {
         let is_newer = self.apply(configuration);
-        if self
-            .newer_balancers(now)
-            .any(|(_, address)| address == peer)
-        {
+        let mut newer = self.newer_balancers(now);
+        let has_announced_newer = newer.any(|(_, address)| address == peer);
+        drop(newer);
+        if !is_newer && has_announced_newer {
             self.record_failed_fetch(now, peer);
         }
         is_newer
@@ -279,14 +280,14 @@
         versions.filter(move |(version, _)| *version > local_version)
     }
 
-    /// Returns the number of other balancers that say that they watch the platform store.
-    pub fn reachable_watchers(&self, now: TimeMs) -> usize {
+    /// Returns the number of other balancers that this one relies on to watch the platform store.
+    pub fn watcher_count(&self, now: TimeMs) -> usize {
         self.watchers(now).count()
     }
 
-    /// Returns the other balancers that watch the platform store and would say at once if the store did
-    /// not answer them any more. Those to which this process has no direct path are left out, and all
-    /// while it is cut off.
+    /// Returns the other balancers that watch the platform store. Those without a direct path to this
+    /// process are left out, and all while it is cut off: they could not tell it at once that the
+    /// store does not answer them any more.
     fn watchers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
         let local_address = self.gossip.local_peer().address;
         let is_isolated = self.gossip.is_isolated();
--- a/crates/opaque/tests/watchers.rs
+++ b/crates/opaque/tests/watchers.rs
@@ -266,3 +266,24 @@
     asked.dedup();
     expect_that!(asked.len(), eq(11), "each of the others is asked once");
 }
+
+// While the configuration changes often, a balancer may announce the next version before it has served the
+// last one. That must not count as a failure, or all balancers would call the store in a series of changes.
+#[gtest]
+fn a_balancer_that_served_a_newer_version_is_asked_for_the_next_one() {
+    let mut fleet = Fleet::new(2, 2, 1);
+    let announcing = fleet.balancers.get_mut(&1).unwrap();
+    announcing.apply(configuration(3, 1));
+    let role = announcing.role(true);
+    fleet.gossip(1, GossipEvent::LocalRoleChanged(role));
+    fleet.run_for(500);
+    let (now, peer) = (fleet.now, peer_address(1));
+    let balancer = fleet.balancers.get_mut(&2).unwrap();
+    for _ in 0..2 {
+        let task = balancer.configuration_task(now);
+        expect_that!(task, eq(ConfigurationTask::FetchFrom(peer)));
+        balancer.apply_fetched(now, peer, configuration(2, 1));
+    }
+    let task = balancer.configuration_task(now);
+    expect_that!(task, not(eq(ConfigurationTask::FetchFrom(peer))));
+}
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -363,7 +363,7 @@
         let machine = self.machine();
         let was_watching = machine.gossip().local_peer().balancer();
         let is_changed = was_watching.is_some_and(|it| it.is_watching != is_watching);
-        let other_watchers = machine.reachable_watchers(now);
+        let other_watchers = machine.watcher_count(now);
         drop(machine);
         if is_changed {
             log::info!(
