Use no connection to the store that was idle for over two seconds

All connections fell silent at 12.0 s. Balancer 1, which did not watch, used none of its own until it took over from the watching ones at 19.7 s, when the store fell silent for these. Its first call took an idle connection that had been silent for 7 s and failed after 0.8 s.

An idle connection is now closed after 2 s. Watches use theirs without a pause; other calls are seconds apart and open a new one.

Test: a_connection_that_fell_silent_long_ago_is_not_used failed before.

--- a/crates/emulator/tests/store_faults.rs
+++ b/crates/emulator/tests/store_faults.rs
@@ -151,3 +151,20 @@
     );
     expect_that!(store.watch(Version::NONE, no_wait_ms).await, ok(anything()));
 }
+
+// Guards against a call on a connection that fell silent while it was idle: a balancer that has to take over
+// the watch of the store would first wait for the limit of an attempt.
+#[gtest]
+#[tokio::test]
+async fn a_connection_that_fell_silent_long_ago_is_not_used() {
+    let options = StoreServerOptions::default();
+    let server = StoreServer::bind("127.0.0.1:0".parse().unwrap(), options).unwrap();
+    let store = ObjectStore::open(server.address(), StoreOptions::default()).unwrap();
+    expect_that!(store.list().await, ok(anything()));
+    server.handle().silence_connections();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    expect_that!(
+        store.watch(Version::NONE, DurationMs(0)).await,
+        ok(anything())
+    );
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -22,6 +22,9 @@
 use crate::object::{Listing, ObjectKey, StoredObject, WatchResult};
 use crate::protocol::{ObjectApi, ObjectBody, REVISION_GONE_STATUS, decode_object};
 
+/// An idle connection is not used again after this time: it may have fallen silent since.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreOptions {
     /// Limit of one call with all its retries and, after a lost response, the check of its outcome.
@@ -398,6 +401,7 @@
 
 fn open_client() -> Result<Client, StoreError> {
     let builder = Client::builder().no_proxy().tcp_nodelay(true);
+    let builder = builder.pool_idle_timeout(MAX_IDLE_TIME);
     builder.build().map_err(|_| StoreError::Unavailable)
 }
 
