Start with the shortest pause after a time without calls of the store

When it took over and its first call failed, it went on with the backoff of the earlier outage and called again after 1.3 s instead of 0.25 s, with a change out for 2.2 s.

A balancer that made no calls for a while starts anew.

--- a/crates/opaque/tests/configuration_in_time.rs
+++ b/crates/opaque/tests/configuration_in_time.rs
@@ -348,6 +348,7 @@
             ConfigurationTask::Idle => Call::Idle,
         };
         if task == ConfigurationTask::Idle {
+            follower.failures = 0;
             self.publish(number, false);
         }
     }
--- a/crates/relay/src/backoff.rs
+++ b/crates/relay/src/backoff.rs
@@ -53,7 +53,13 @@
 
     /// Restarts with the shortest pause, after a successful call.
     pub(crate) fn reset(&mut self) {
-        self.failures = 0;
+        self.forget_failures();
         self.recovery.report();
     }
+
+    /// Restarts with the shortest pause after a time without calls, in which the store may have
+    /// recovered.
+    pub(crate) const fn forget_failures(&mut self) {
+        self.failures = 0;
+    }
 }
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -75,6 +75,7 @@
         if current_task == ConfigurationTask::Idle && has_configuration {
             on_event(ConfigurationEvent::NotWatching);
             wait_while_idle(&task).await;
+            backoff.forget_failures();
             continue;
         }
         if let ConfigurationTask::FetchFrom(peer) = current_task {
