Fetch a newer version while the first call of a watch waits

The watching balancers have the change after 1.6 s, the two others after 2.2 s: these had just begun to watch, on silent connections, and a balancer with a watch gives it 0.5 s to report a change that others have.

That time now applies only once the store has answered the watch. Until then (and during a listing) a newer version is fetched at once.

--- a/crates/opaque/tests/configuration_in_time.rs
+++ b/crates/opaque/tests/configuration_in_time.rs
@@ -205,15 +205,19 @@
     fn follow(&mut self, number: u8) {
         let now = self.fleet.now;
         let follower = &self.followers[&number];
+        let balancer = &self.fleet.balancers[&number];
+        let task = balancer.configuration_task(now);
+        let status = balancer.gossip().local_peer().balancer();
+        let is_fetch_due = matches!(task, ConfigurationTask::FetchFrom(_))
+            && status.is_some_and(|it| !it.is_watching);
         match follower.call {
             Call::Idle => self.start_call(number),
             Call::Pause { until, is_backoff } => {
-                let task = self.fleet.balancers[&number].configuration_task(now);
-                let is_over = is_backoff && matches!(task, ConfigurationTask::FetchFrom(_));
-                if now >= until || is_over {
+                if now >= until || is_backoff && is_fetch_due {
                     self.start_call(number);
                 }
             }
+            Call::Watch { .. } | Call::Read { .. } if is_fetch_due => self.start_call(number),
             Call::Watch { since, is_lost } => self.advance_watch(number, since, is_lost),
             Call::Read { since, limit_ms } => match self.store_answer(number) {
                 StoreAnswer::Answer => self.receive(number),
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -70,9 +70,11 @@
     let mut has_configuration = false;
     let mut backoff = Backoff::new(recovery);
     let mut watch_lag = MAX_WATCH_LAG;
+    let mut is_watching = false;
     loop {
         let current_task = task();
         if current_task == ConfigurationTask::Idle && has_configuration {
+            is_watching = false;
             on_event(ConfigurationEvent::NotWatching);
             wait_while_idle(&task).await;
             backoff.forget_failures();
@@ -80,28 +82,32 @@
         }
         if let ConfigurationTask::FetchFrom(peer) = current_task {
             has_configuration |= fetch_from_peer(&peers, peer, &mut on_event).await;
+            is_watching = false;
             on_event(ConfigurationEvent::NotWatching);
             continue;
         }
-        let result = match cursor.next_step(MAX_WATCH_WAIT_MS) {
-            WatchStep::List => list(&store, &mut cursor, &mut on_event).await,
-            WatchStep::Watch { from, wait_ms } => tokio::select! {
-                result = watch(&store, from, wait_ms, &mut cursor, &mut on_event) => result,
-                peer = wait_for_missed_change(&newer_peer, watch_lag) => {
-                    log::warn!(peer:% = peer, from:% = from; "relay: The watch missed a change of the configuration that another balancer has.");
-                    fetch_from_peer(&peers, peer, &mut on_event).await;
-                    cursor.restart();
-                    watch_lag = if newer_peer().is_some() { RETRY_LAG } else { MAX_WATCH_LAG };
-                    continue;
-                }
-            },
+        let step = cursor.next_step(MAX_WATCH_WAIT_MS);
+        let call = call_store(&store, step, &mut cursor, &mut on_event);
+        let result = tokio::select! {
+            result = call => result,
+            peer = wait_for_missed_change(&newer_peer, watch_lag), if is_watching => {
+                log::warn!(peer:% = peer; "relay: The watch missed a change of the configuration that another balancer has.");
+                fetch_from_peer(&peers, peer, &mut on_event).await;
+                cursor.restart();
+                watch_lag = if newer_peer().is_some() { RETRY_LAG } else { MAX_WATCH_LAG };
+                continue;
+            }
+            // The first call of a watch may wait on a silent connection.
+            () = wait_for_peer(&task), if !is_watching => continue,
         };
         match result {
             Ok(()) => {
                 has_configuration = true;
+                is_watching = true;
                 backoff.reset();
             }
             Err(error) => {
+                is_watching = false;
                 report_failure(error, &mut on_event);
                 if !cursor.failed(error) {
                     continue;
@@ -177,6 +183,18 @@
     }
 }
 
+async fn call_store(
+    store: &ObjectStore,
+    step: WatchStep,
+    cursor: &mut WatchCursor,
+    on_event: &mut impl FnMut(ConfigurationEvent),
+) -> Result<(), StoreError> {
+    match step {
+        WatchStep::List => list(store, cursor, on_event).await,
+        WatchStep::Watch { from, wait_ms } => watch(store, from, wait_ms, cursor, on_event).await,
+    }
+}
+
 async fn list(
     store: &ObjectStore,
     cursor: &mut WatchCursor,
