Read each object in an answer of the platform store on its own

What callers would see: no change of the routes reaches a balancer any more, or a process that starts never learns of the others, after another program left one object whose metadata cannot be read, or bytes that are not UTF-8, in a kind that the system watches.

Cause: one part that cannot be read made the whole answer malformed. A watch then keeps its position and gets the same answer again.

What is skipped is named once in the log and counted. A listing that cannot be continued says so. A configuration that cannot be read is not skipped: it must not confirm the routes in force.

Ruled out: deep nesting and numbers out of range in fields that are not read were skipped before, too.

--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -203,6 +203,9 @@
     let listing = store
         .list_collection(Collection::Configuration, Freshness::Current)
         .await?;
+    if listing.objects.is_empty() && !listing.is_complete {
+        return Err(StoreError::Malformed);
+    }
     report_latest(&listing.objects, on_event)?;
     on_event(ConfigurationEvent::Current);
     cursor.listed(listing.position);
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -92,11 +92,12 @@
             };
             backoff.reset();
             let listed_era = listing.position.era();
+            let is_whole = listing.is_complete;
             let entries = entries(listing);
             let local_entry = entries.iter().find(|entry| entry.key == self.key).cloned();
             let is_known = local_entry.as_ref().is_some_and(|it| self.is_current(it));
             let is_in_place = local_entry.as_ref().is_some_and(|it| self.is_in_place(it));
-            let is_complete = entries.iter().all(|it| it.version.era() == listed_era);
+            let is_complete = is_whole && entries.iter().all(|it| it.version.era() == listed_era);
             let peers = peers(entries);
             let processes = peers.len();
             on_event(DirectoryEvent::Listed { peers, is_complete });
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -15,11 +15,12 @@
 
 use crate::budget::RetryBudget;
 use crate::dialect::{
-    Collection, CollectionChanges, CollectionListing, Freshness, ListPage, StoreDialect,
+    Collection, CollectionChanges, CollectionListing, Freshness, ListPage, NextPage, StoreDialect,
     StoreMethod, StoreRequest,
 };
 use crate::era::{EraObserver, EraReceiver};
 use crate::object::{Listing, ObjectKey, StoredObject, WatchResult};
+use crate::part::{SkippedObject, SkippedObjects};
 use crate::protocol::{ObjectApi, ObjectBody, REVISION_GONE_STATUS, decode_object};
 
 /// An idle connection is not used again after this time: it may have fallen silent since.
@@ -73,6 +74,7 @@
     options: StoreOptions,
     budget: Mutex<RetryBudget>,
     era: EraObserver,
+    skipped: SkippedObjects,
 }
 
 /// Failure of one attempt.
@@ -120,6 +122,7 @@
             options,
             budget: Mutex::new(RetryBudget::new(options.seed)),
             era: EraObserver::default(),
+            skipped: SkippedObjects::default(),
         })
     }
 
@@ -143,9 +146,12 @@
         let page = self
             .list_collection(Collection::Own, Freshness::Current)
             .await?;
+        if !page.is_complete {
+            return Err(StoreError::Malformed);
+        }
         Ok(Listing {
             position: page.position,
-            objects: decode_known(page.objects),
+            objects: self.decode_known(page.objects),
         })
     }
 
@@ -153,7 +159,7 @@
     ///
     /// The position is that of the first page, so that a watch from there does not miss changes
     /// made between two pages. Fails with [`StoreError::RevisionGone`] if the store came back from a
-    /// copy between two pages.
+    /// copy between two pages. A listing that cannot be continued is returned as incomplete.
     pub async fn list_collection(
         &self,
         collection: Collection,
@@ -163,21 +169,23 @@
         let (era, mut page) = self
             .list_page(collection, None, freshness, deadline)
             .await?;
-        let mut listing = CollectionListing {
-            position: Version::in_era(era, page.revision),
-            objects: page.objects,
-        };
-        while let Some(after) = page.next.take() {
+        let position = Version::in_era(era, page.revision);
+        let mut objects = page.objects;
+        while let NextPage::After(after) = page.next {
             let (page_era, next) = self
                 .list_page(collection, Some(&after), freshness, deadline)
                 .await?;
             if page_era != era {
                 return Err(StoreError::RevisionGone);
             }
-            listing.objects.extend(next.objects);
+            objects.extend(next.objects);
             page.next = next.next;
         }
-        Ok(listing)
+        Ok(CollectionListing {
+            position,
+            objects,
+            is_complete: page.next == NextPage::End,
+        })
     }
 
     async fn list_page(
@@ -193,7 +201,9 @@
             .await?;
         let era = answer.era;
         let body = read_body(answer.response, deadline).await?;
-        Ok((era, self.dialect.list_answer(collection, &body)?))
+        let mut page = self.dialect.list_answer(collection, &body)?;
+        self.skipped.report(std::mem::take(&mut page.skipped));
+        Ok((era, page))
     }
 
     /// Waits up to `wait` for changes after `from`. Not retried, because callers watch in a loop.
@@ -201,7 +211,7 @@
         let page = self.watch_collection(Collection::Own, from, wait).await?;
         Ok(WatchResult {
             position: page.position,
-            objects: decode_known(page.changes),
+            objects: self.decode_known(page.changes),
         })
     }
 
@@ -222,6 +232,7 @@
         let era = answer.era;
         let body = read_body(answer.response, deadline).await?;
         let page = self.dialect.watch_answer(collection, &body)?;
+        self.skipped.report(page.skipped);
         // Revisions go back without notice if the store does not report its era.
         let is_same_history = era == from.era() && page.revision >= from.revision();
         if from != Version::NONE && !is_same_history {
@@ -300,6 +311,22 @@
         Err(StoreError::Unavailable)
     }
 
+    /// Decodes objects and skips those unknown to this release, which may belong to other programs.
+    fn decode_known(&self, bodies: Vec<ObjectBody>) -> Vec<StoredObject> {
+        let decode = |body: ObjectBody| {
+            let name = format!("{}/{}", body.kind, body.name);
+            let object = decode_object(body);
+            object.map_err(|error| self.report_skipped(SkippedObject::new(name, error)))
+        };
+        let decoded = bodies.into_iter().map(decode);
+        decoded.filter_map(Result::ok).collect()
+    }
+
+    /// Logs and counts an object that its reader cannot use.
+    pub fn report_skipped(&self, object: SkippedObject) {
+        self.skipped.report([object]);
+    }
+
     fn request(&self, call: &StoreRequest) -> RequestBuilder {
         let url = format!("{}{}", self.base, call.path);
         let client = self.client();
@@ -429,11 +456,3 @@
         _ => AttemptError::Ambiguous,
     }
 }
-
-/// Decodes objects and skips those unknown to this release, which may belong to other programs.
-fn decode_known(bodies: Vec<ObjectBody>) -> Vec<StoredObject> {
-    bodies
-        .into_iter()
-        .filter_map(|body| decode_object(body).ok())
-        .collect()
-}
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -6,6 +6,7 @@
 
 use crate::client::StoreError;
 use crate::object::ObjectKey;
+use crate::part::SkippedObject;
 use crate::protocol::ObjectBody;
 
 /// Objects that are listed and watched together.
@@ -64,6 +65,8 @@
     /// Version from which a watch continues.
     pub position: Version,
     pub objects: Vec<ObjectBody>,
+    /// The listing has all objects that can be read.
+    pub is_complete: bool,
 }
 
 /// Changes of a collection.
@@ -83,8 +86,21 @@
     /// Revision of the store.
     pub revision: Revision,
     pub objects: Vec<ObjectBody>,
-    /// Cursor of the next page; `None` on the last page.
-    pub next: Option<String>,
+    /// Where the listing continues.
+    pub next: NextPage,
+    pub skipped: Vec<SkippedObject>,
+}
+
+/// Where a listing continues after a page.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum NextPage {
+    /// Nowhere: this is the last page.
+    #[default]
+    End,
+    /// After this cursor.
+    After(String),
+    /// There are further pages, but no object of this page has a name that can be read.
+    Unknown,
 }
 
 /// Answer of a store to one watch call.
@@ -96,6 +112,7 @@
     pub changes: Vec<ObjectBody>,
     /// Names of objects that no longer exist.
     pub removed: Vec<String>,
+    pub skipped: Vec<SkippedObject>,
 }
 
 /// Encodes the calls of one kind of store and decodes its answers.
@@ -104,6 +121,9 @@
 /// statuses mean the same in all stores: 404 for an object that does not exist, 409 for a condition
 /// that does not hold, 410 for history that is no longer kept, and 429 and 503 for calls that were
 /// not executed.
+///
+/// An object that cannot be read is skipped and named in `skipped`; it does not make an answer
+/// malformed.
 pub trait StoreDialect: Debug + Send + Sync {
     /// Name of the header in which every answer reports the era of the store.
     fn era_header(&self) -> &'static str;
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -13,7 +13,7 @@
 
 use crate::client::StoreError;
 use crate::dialect::{
-    Collection, Freshness, ListPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
+    Collection, Freshness, ListPage, NextPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
 };
 use crate::object::{ObjectKey, ObjectKind, StoredObject, WriteId};
 
@@ -126,7 +126,8 @@
         Ok(ListPage {
             revision: body.revision,
             objects: body.objects,
-            next: None,
+            next: NextPage::End,
+            skipped: Vec::new(),
         })
     }
 
@@ -136,6 +137,7 @@
             revision: body.revision,
             changes: body.events,
             removed: Vec::new(),
+            skipped: Vec::new(),
         })
     }
 
