--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -163,8 +163,12 @@
                 }
             }
             // The last write may have taken effect although its answer was lost.
-            if let Ok(current) = self.store.get(&self.key).await {
-                existing = current;
+            match self.store.get(&self.key).await {
+                Ok(current) => existing = current,
+                Err(error) => {
+                    log::warn!(key:% = self.key; "relay: Directory entry not read: {error}.");
+                    backoff.pause().await;
+                }
             }
             if existing.as_ref().is_some_and(|it| self.is_in_place(it)) {
                 return;
