Let a process whose clock was set back learn of its earlier incarnation

What callers would see: an upstream that drains still gets new flows, and a balancer counts as watching the store although it does not, or never announces a newer configuration, so that others do not fetch it.

A process that restarts after its clock was set back has a lower incarnation than its last record. The others keep the earlier record and ignore all later states. The process raises its incarnation when it hears of the earlier record, but nobody told it: a message never carries the record of its receiver, and the entries of the directory have no incarnation. Now the receiver of such a message answers with the record that it has.

Before: a_process_whose_clock_was_set_back_is_known_with_its_state fails, 1 of 8 processes knows the new state of either process. After: 8 of 8.

--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -191,13 +191,20 @@
         gossip: Gossip,
         out: &mut Vec<GossipAction>,
     ) {
+        let sender_incarnation = gossip.sender.incarnation;
         self.merge(now, gossip.sender, Some(now), out);
         for update in gossip.updates {
             self.merge(now, update.peer, Some(now - update.age_ms), out);
         }
+        let known = self.view.find(from);
+        if known.is_some_and(|known| known.incarnation > sender_incarnation) {
+            // The clock of the sender was set back before it restarted. It raises its incarnation
+            // once it learns of the earlier one.
+            self.send_record(now, from, from, out);
+        }
         let sender = self.view.find_entry_mut(from);
         if let Some(requester) = sender.and_then(|sender| sender.record_contact(now)) {
-            self.send_indirect_ack(now, requester, from, out);
+            self.send_record(now, requester, from, out);
         }
         for suspected in gossip.suspected {
             self.handle_suspicion(now, suspected, from, out);
@@ -225,7 +232,7 @@
         };
         let outcome = entry.record_suspicion(now, from);
         if outcome == SuspicionOutcome::RecentContact {
-            self.send_indirect_ack(now, from, address, out);
+            self.send_record(now, from, address, out);
         }
         // A peer with recent contact is probed too: it may have died since.
         if outcome != SuspicionOutcome::Ignored {
@@ -233,8 +240,8 @@
         }
     }
 
-    /// Sends `to` the record of a reachable peer that it suspects.
-    fn send_indirect_ack(
+    /// Sends `to` the record of the peer at `address`.
+    fn send_record(
         &mut self,
         now: TimeMs,
         to: SocketAddr,
--- a/crates/opaque/tests/gossip.rs
+++ b/crates/opaque/tests/gossip.rs
@@ -386,3 +386,31 @@
     mesh.run_for(5_000);
     expect_that!(mesh.is_isolated(address(0)), eq(false));
 }
+
+// A process that restarts after its clock was set back has a lower incarnation than its last record. Others
+// would keep that record, and never learn of a later state.
+#[gtest]
+fn a_process_whose_clock_was_set_back_is_known_with_its_state() {
+    let mut mesh = Mesh::start(8);
+    mesh.run_for(SETTLED_AFTER_MS);
+    for number in 0..2 {
+        let machine = mesh.machines.get_mut(&address(number)).unwrap();
+        *machine = GossipMachine::new(peer_record(number, 0), 99);
+    }
+    mesh.run_for(2_000);
+    let draining = agent_role(1, Phase::Draining);
+    mesh.handle(address(1), GossipEvent::LocalRoleChanged(draining.clone()));
+    let watching = PeerRole::Balancer(BalancerStatus {
+        is_watching: true,
+        ..BalancerStatus::default()
+    });
+    mesh.handle(address(0), GossipEvent::LocalRoleChanged(watching.clone()));
+    mesh.run_for(2_000);
+    for (number, role) in [(0, watching), (1, draining)] {
+        let informed = mesh.machines.iter().filter(|(_, machine)| {
+            let known = machine.view().find(address(number));
+            known.is_some_and(|known| known.role.clone() == role)
+        });
+        expect_that!(informed.count(), eq(8), "process {number}");
+    }
+}
