Follow an upstream whose start time or sequence went back; acknowledge no stale heartbeat

What callers would see: an upstream that nobody uses any more, for as long as it runs, or one that gets new flows after its drain was acknowledged.

An upstream that restarts after the clock of its VM was set back has an earlier start time than before, and a heartbeat of another writer may have a start time or sequence that the upstream never reaches. All its later heartbeats counted as old ones, were acknowledged and had no effect. An older heartbeat now replaces the latest one if that one's incarnation has missed three heartbeats and the older one repeats itself at least one interval apart, so that late ones which arrive at once replace nothing. A heartbeat without effect is not acknowledged.

Class: order given by a clock or counter that can go back, as with the incarnations of our own processes.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -566,6 +566,12 @@
         });
     }
 
+    /// Returns whether a handled heartbeat is in force. A stale one changes nothing and must not be
+    /// acknowledged: its sender would rely on it.
+    pub fn is_latest_report(&self, report: &UpstreamReport) -> bool {
+        self.upstream.is_latest(report)
+    }
+
     fn handle_heartbeat(
         &mut self,
         now: TimeMs,
--- a/crates/opaque/src/upstream.rs
+++ b/crates/opaque/src/upstream.rs
@@ -74,11 +74,21 @@
     NewIncarnation,
 }
 
+/// Heartbeat that is older than the latest one, although it may be from the upstream's present
+/// incarnation.
+#[derive(Clone, Debug)]
+struct Contender {
+    report: UpstreamReport,
+    /// When the first of these heartbeats arrived.
+    since: TimeMs,
+}
+
 /// Liveness and failure rate of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamHealth {
     heartbeat_ms: DurationMs,
     report: Option<UpstreamReport>,
+    contender: Option<Contender>,
     /// When the last heartbeat arrived or, before the first one, the agent started.
     last_report: TimeMs,
     /// Unanswered opening packets in a row.
@@ -97,6 +107,7 @@
         Self {
             heartbeat_ms,
             report: None,
+            contender: None,
             last_report: now,
             unanswered_openings: 0,
             failure_rate: 0,
@@ -153,12 +164,13 @@
     }
 
     pub(crate) fn apply_report(&mut self, now: TimeMs, report: UpstreamReport) -> ReportKind {
-        let known = self.report.as_ref();
-        if known.is_some_and(|known| report.is_older_than(known)) {
+        if self.is_stale(now, &report) {
             return ReportKind::Stale;
         }
+        let known = self.report.as_ref();
         let is_same_incarnation = known.is_none_or(|known| report.is_same_incarnation(known));
         self.last_report = now;
+        self.contender = None;
         self.record_activity();
         self.report = Some(report);
         if is_same_incarnation {
@@ -168,6 +180,40 @@
         }
     }
 
+    /// Returns whether the report is older than the latest one.
+    ///
+    /// Start times and sequence numbers go back if the clock of the upstream was set back before it
+    /// restarted, or if another writer sent the latest heartbeat. So a report replaces the latest one
+    /// although it is older, if that one's incarnation is silent while the report's goes on.
+    fn is_stale(&mut self, now: TimeMs, report: &UpstreamReport) -> bool {
+        let known = self.report.as_ref();
+        if !known.is_some_and(|known| report.is_older_than(known)) {
+            return false;
+        }
+        let contender = self.contender.take();
+        let since = contender
+            .filter(|it| it.report.is_same_incarnation(report))
+            .filter(|it| it.report.is_older_than(report))
+            .map_or(now, |it| it.since);
+        let is_repeated = now.since(since) >= self.heartbeat_ms;
+        self.contender = Some(Contender {
+            report: report.clone(),
+            since,
+        });
+        !(is_repeated && self.is_silent(now))
+    }
+
+    /// Returns whether the incarnation of the latest heartbeat has missed several.
+    fn is_silent(&self, now: TimeMs) -> bool {
+        let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
+        now.since(self.last_report) > limit
+    }
+
+    /// Returns whether `report` is the latest heartbeat, and not a stale one.
+    pub(crate) fn is_latest(&self, report: &UpstreamReport) -> bool {
+        self.report.as_ref() == Some(report)
+    }
+
     /// Returns the incarnation that the last heartbeat reported.
     pub(crate) fn incarnation(&self) -> Option<UpstreamIncarnation> {
         let report = self.report.as_ref()?;
@@ -202,9 +248,10 @@
     /// Returns the weight for new flows: none for an unresponsive upstream, and little for one that
     /// fails requests, whatever its heartbeats report.
     pub(crate) fn weight(&self, now: TimeMs) -> Weight {
-        let limit = DurationMs(self.heartbeat_ms.get() * MISSED_HEARTBEATS);
-        let is_unresponsive = now.since(self.last_report) > limit;
-        if self.is_dead || is_unresponsive || self.unanswered_openings >= MAX_UNANSWERED_OPENINGS {
+        if self.is_dead
+            || self.is_silent(now)
+            || self.unanswered_openings >= MAX_UNANSWERED_OPENINGS
+        {
             Weight::NONE
         } else if self.failure_rate >= FAILING_THRESHOLD {
             RECOVERY_WEIGHT
--- a/crates/opaque/tests/dead_upstream.rs
+++ b/crates/opaque/tests/dead_upstream.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use common::{Behaviour, Fleet, Outcome, flow, report};
+use common::{Behaviour, Fleet, HEARTBEAT_MS, Outcome, flow, report};
 use googletest::prelude::*;
-use hawthorntide_opaque::AgentEvent;
-use hawthorntide_types::ResultCode;
+use hawthorntide_opaque::{AgentEvent, UpstreamReport};
+use hawthorntide_types::{DurationMs, Phase, ResultCode};
 
 /// Opens flows, kills the upstream with the most flows and sends it a packet, so that its agent probes
 /// it.
@@ -69,3 +69,43 @@
     fleet.agent_event(100, AgentEvent::Report(report(77, 1, false)), None);
     expect_that!(fleet.reset_flows, elements_are![eq(&key)]);
 }
+
+// An upstream restarts after its clock was set back, or another writer sent a heartbeat with numbers that it
+// never reaches: its own heartbeats must not count as late ones for ever.
+#[gtest]
+fn an_upstream_with_an_earlier_start_time_serves_once_the_later_one_is_silent() {
+    for (born_ms, sequence) in [(9, 1), (u64::MAX, u64::MAX), (5, u64::MAX)] {
+        let mut fleet = Fleet::new(0, 1, 1);
+        let mut send = |report: UpstreamReport| {
+            fleet.agent_event(100, AgentEvent::Report(report.clone()), None);
+            fleet.now = fleet.now + DurationMs(HEARTBEAT_MS);
+            let machine = &fleet.agents[&100].machine;
+            (machine.phase(), machine.is_latest_report(&report))
+        };
+        send(report(5, 1, false));
+        send(report(born_ms, sequence, true));
+        let mut last = None;
+        for sequence in 2..9 {
+            last = Some(send(report(5, sequence, false)));
+        }
+        expect_that!(
+            last,
+            some(eq((Phase::Serving, true))),
+            "{born_ms}, {sequence}"
+        );
+    }
+}
+
+// Heartbeats that were held up by a partition arrive at once after the upstream has restarted, while its new
+// incarnation is slow: they must not end it.
+#[gtest]
+fn late_heartbeats_that_arrive_at_once_replace_no_incarnation() {
+    let mut fleet = Fleet::new(0, 1, 1);
+    fleet.agent_event(100, AgentEvent::Report(report(5, 1, true)), None);
+    fleet.now = fleet.now + DurationMs(5 * HEARTBEAT_MS);
+    for sequence in 1..9 {
+        fleet.agent_event(100, AgentEvent::Report(report(4, sequence, false)), None);
+        fleet.now = fleet.now + DurationMs(10);
+    }
+    expect_that!(fleet.agents[&100].machine.phase(), eq(Phase::Draining));
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -511,8 +511,18 @@
             );
             return false;
         }
-        self.handle(AgentEvent::Report(heartbeat.report), &mut [], None);
-        true
+        let report = heartbeat.report;
+        self.handle(AgentEvent::Report(report.clone()), &mut [], None);
+        let is_in_force = self.machine().is_latest_report(&report);
+        if !is_in_force {
+            log::warn!(
+                upstream = report.id,
+                born_ms = report.born_ms,
+                sequence = report.sequence;
+                "relay: Stale heartbeat rejected."
+            );
+        }
+        is_in_force
     }
 
     fn handle_deregistration(&self, id: &str) {
