Take from a directory entry only what it proves

What callers would see: flows at an upstream whose drain or end nobody learns of, and a balancer that waits for a configuration that no other one has.

Another program can leave an entry of the directory at the address of a running process, with the highest incarnation. The process then raised its own to the next one, which wraps to 0 in release builds, and no other one accepted its records any more. An entry of a process that does not exist could pass for a balancer that watches the store with the newest configuration, until it left probes unanswered.

An entry now tells the address, failure domain, role and service of a process, and nothing that only its messages tell. Entries whose name is not that of their address are skipped, named in the log and counted. Records with an address that names no host of the network, or with counters that no process reaches, are ignored, in messages too, and no incarnation wraps (opaque flows and own interface).

--- a/crates/membership/src/announce.rs
+++ b/crates/membership/src/announce.rs
@@ -551,7 +551,7 @@
         out: &mut Vec<AnnounceAction>,
     ) {
         if ack.newer_incarnation > self.local.stamp.incarnation.get() {
-            self.raise_incarnation(Incarnation(ack.newer_incarnation + 1), out);
+            self.raise_incarnation(Incarnation(ack.newer_incarnation).next(), out);
             return;
         }
         if ack.wants_refutation && ack.revision >= self.local.stamp.revision {
@@ -620,7 +620,7 @@
     fn handle_endpoint(&mut self, endpoint: Endpoint, out: &mut Vec<AnnounceAction>) {
         if endpoint.id == self.local.id {
             if endpoint.stamp.incarnation > self.local.stamp.incarnation {
-                let raised = Incarnation(endpoint.stamp.incarnation.get() + 1);
+                let raised = endpoint.stamp.incarnation.next();
                 self.raise_incarnation(raised, out);
             }
             return;
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -745,7 +745,7 @@
             self.worsen_local_health();
         } else {
             // This incarnation did not issue the record, so it stems from a previous one.
-            self.local.stamp.incarnation = Incarnation(stamp.incarnation.get() + 1);
+            self.local.stamp.incarnation = stamp.incarnation.next();
             self.local.stamp.revision = 1;
             out.push(GossipAction::IncarnationRaised(
                 self.local.stamp.incarnation,
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -175,7 +175,7 @@
             GossipEvent::Message { from, gossip } => self.handle_message(now, from, gossip, out),
             GossipEvent::Directory(peers) => {
                 for peer in peers {
-                    self.merge(now, peer, None, out);
+                    self.merge(now, peer.directory_entry(), None, out);
                 }
                 self.send_extra_probes(now, out);
             }
@@ -397,12 +397,14 @@
         last_alive: Option<TimeMs>,
         out: &mut Vec<GossipAction>,
     ) {
+        if !peer.is_plausible(self.local_peer.address) {
+            return;
+        }
         if peer.address == self.local_peer.address {
             // Refutes a record with a higher incarnation. Such a record exists if the clock was set
             // back after a previous incarnation started.
             if peer.incarnation > self.local_peer.incarnation {
-                self.local_peer.incarnation =
-                    hawthorntide_types::Incarnation(peer.incarnation.get() + 1);
+                self.local_peer.incarnation = peer.incarnation.next();
                 self.increment_heartbeat(now);
             }
             return;
--- a/crates/opaque/src/peer.rs
+++ b/crates/opaque/src/peer.rs
@@ -1,6 +1,6 @@
 //! Records in which the processes of a deployment describe themselves to their peers.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use hawthorntide_types::{
     ConfigurationVersion, FailureDomain, Incarnation, PerMille, Phase, ServiceName, Weight,
@@ -30,6 +30,10 @@
     }
 }
 
+/// Highest incarnation or heartbeat counter of a process. Incarnations are milliseconds since 1970, so none
+/// comes near; from a higher one, a process could not raise its own.
+const MAX_COUNTER: u64 = 1 << 53;
+
 /// Load, per mille, up to which an agent takes its full share of new flows. Above it, waiting times
 /// grow faster than the load.
 pub(crate) const FREE_LOAD: u16 = 600;
@@ -114,6 +118,32 @@
         }
     }
 
+    /// Returns the record as an entry of the directory: without what is known only from messages of the
+    /// process. An entry may be old, or another program may have written it.
+    #[must_use]
+    pub fn directory_entry(&self) -> Self {
+        let role = match &self.role {
+            PeerRole::Balancer(_) => PeerRole::Balancer(BalancerStatus::default()),
+            agent @ PeerRole::Agent(_) => agent.clone(),
+        };
+        Self {
+            incarnation: Incarnation(0),
+            heartbeat_counter: 0,
+            role,
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether `local`, another process, can reach the address and the counters are possible ones.
+    pub(crate) fn is_plausible(&self, local: SocketAddr) -> bool {
+        let ip = self.address.ip();
+        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+        let is_unicast = !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast;
+        let is_same_family = ip.is_ipv4() == local.is_ipv4();
+        let highest_counter = self.incarnation.get().max(self.heartbeat_counter);
+        is_unicast && is_same_family && self.address.port() != 0 && highest_counter <= MAX_COUNTER
+    }
+
     /// Compares this record with another one of the same process.
     pub(crate) fn is_newer_than(&self, other: &Self) -> bool {
         (self.incarnation, self.heartbeat_counter) > (other.incarnation, other.heartbeat_counter)
--- a/crates/opaque/tests/gossip.rs
+++ b/crates/opaque/tests/gossip.rs
@@ -11,7 +11,7 @@
     BalancerStatus, GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine, Peer, PeerRole,
     encode,
 };
-use hawthorntide_types::{DurationMs, PerMille, Phase, TimeMs};
+use hawthorntide_types::{ConfigurationVersion, DurationMs, PerMille, Phase, TimeMs};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -414,3 +414,64 @@
         expect_that!(informed.count(), eq(8), "process {number}");
     }
 }
+
+// An entry of another program at the address of a running process must not hide its later states, and one of
+// a process that does not exist must not pass for a balancer that watches or has a newer configuration.
+#[gtest]
+fn an_odd_directory_entry_counts_for_nothing_that_messages_tell() {
+    let mut mesh = Mesh::start(8);
+    mesh.run_for(SETTLED_AFTER_MS);
+    let gone = Peer {
+        heartbeat_counter: u64::MAX,
+        ..peer_record(5, u64::MAX)
+    };
+    let watching = PeerRole::Balancer(BalancerStatus {
+        version: ConfigurationVersion(u64::MAX),
+        is_watching: true,
+    });
+    let absent = Peer {
+        role: watching.clone(),
+        ..peer_record(40, u64::MAX)
+    };
+    let addresses: Vec<SocketAddr> = mesh.machines.keys().copied().collect();
+    for at in addresses {
+        mesh.handle(
+            at,
+            GossipEvent::Directory(vec![gone.clone(), absent.clone()]),
+        );
+        let known = mesh.machines[&at].view().find(absent.address).unwrap();
+        expect_that!(known.role, not(eq(&watching)));
+    }
+    let draining = agent_role(0, Phase::Draining);
+    mesh.handle(address(5), GossipEvent::LocalRoleChanged(draining.clone()));
+    mesh.run_for(2_000);
+    let machines = mesh.machines.values();
+    let informed = machines.filter(|it| it.view().find(address(5)).unwrap().role == draining);
+    expect_that!(informed.count(), eq(8));
+}
+
+// Datagrams to such addresses fail, or reach more than one host.
+#[gtest]
+fn nothing_is_sent_to_an_address_that_names_no_host() {
+    let mut machine = GossipMachine::new(peer_record(0, 1), 1);
+    let addresses = [
+        "10.0.0.9:0",
+        "0.0.0.0:7720",
+        "224.0.0.1:7720",
+        "255.255.255.255:7720",
+        "[::1]:7720",
+    ];
+    let odd = addresses.map(|address| Peer {
+        address: address.parse().unwrap(),
+        ..peer_record(9, 1)
+    });
+    let mut actions = Vec::new();
+    machine.handle(
+        TimeMs(1_000),
+        GossipEvent::Directory(odd.to_vec()),
+        &mut actions,
+    );
+    machine.handle(TimeMs(1_250), GossipEvent::Round, &mut actions);
+    expect_that!(actions, is_empty());
+    expect_that!(machine.view().peers().count(), eq(1));
+}
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -10,9 +10,9 @@
 use hawthorntide_opaque::Peer;
 use hawthorntide_store::{
     Collection, CollectionListing, EraReceiver, Freshness, ObjectKey, ObjectKind, ObjectStore,
-    Removal, StoredObject, WriteOutcome,
+    Removal, SkippedObject, StoredObject, WriteOutcome,
 };
-use hawthorntide_types::{Incarnation, StoreEra, Version};
+use hawthorntide_types::{StoreEra, Version};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::backoff::{Backoff, StoreRecovery};
@@ -60,11 +60,7 @@
         local_peer: &Peer,
         recovery: StoreRecovery,
     ) -> Option<Self> {
-        let entry = Peer {
-            incarnation: Incarnation(0),
-            heartbeat_counter: 0,
-            ..local_peer.clone()
-        };
+        let entry = local_peer.directory_entry();
         Some(Self {
             store,
             key: object_key(ObjectKind::Directory, local_peer)?,
@@ -98,7 +94,7 @@
             let is_known = local_entry.as_ref().is_some_and(|it| self.is_current(it));
             let is_in_place = local_entry.as_ref().is_some_and(|it| self.is_in_place(it));
             let is_complete = is_whole && entries.iter().all(|it| it.version.era() == listed_era);
-            let peers = peers(entries);
+            let peers = self.peers(entries);
             let processes = peers.len();
             on_event(DirectoryEvent::Listed { peers, is_complete });
             // A stale listing may lack an entry that exists.
@@ -176,6 +172,28 @@
         }
     }
 
+    /// Decodes entries. Skips those of other programs, also if their name is not that of their address.
+    fn peers(&self, entries: Vec<StoredObject>) -> Vec<Peer> {
+        let decode = |entry: StoredObject| {
+            let name = entry.key.to_string();
+            let skip = |reason: String| self.store.report_skipped(SkippedObject::new(name, reason));
+            match serde_json::from_value::<Peer>(entry.value) {
+                Ok(peer) if object_key(entry.key.kind, &peer).as_ref() == Some(&entry.key) => {
+                    Some(peer)
+                }
+                Ok(peer) => {
+                    skip(format!("the entry is of {}", peer.address));
+                    None
+                }
+                Err(error) => {
+                    skip(error.to_string());
+                    None
+                }
+            }
+        };
+        entries.into_iter().filter_map(decode).collect()
+    }
+
     /// Returns whether the object is the entry of this process.
     fn is_current(&self, object: &StoredObject) -> bool {
         !object.is_deleted && object.value == self.entry
@@ -230,10 +248,3 @@
         .filter(|object| object.key.kind == ObjectKind::Directory && !object.is_deleted)
         .collect()
 }
-
-fn peers(entries: Vec<StoredObject>) -> Vec<Peer> {
-    let values = entries.into_iter().map(|entry| entry.value);
-    values
-        .filter_map(|value| serde_json::from_value(value).ok())
-        .collect()
-}
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -105,6 +105,14 @@
     }
 }
 
+impl Incarnation {
+    /// Returns the next higher incarnation; the highest one has none and returns itself.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
 impl ConfigurationVersion {
     /// Stands for the absence of a configuration.
     pub const NONE: Self = Self(0);
