Read each object of the own interface's lists and watches on its own

What callers would see: changes of profiles and services that are never in force, after another program wrote one object that cannot be decoded.

Objects that cannot be read are skipped, named in the log and counted.

Before: an_odd_object_hides_no_other fails with the first odd object. After: it passes with all five.

--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -10,12 +10,14 @@
 use hawthorntide_types::{DurationMs, ParseValueError, Revision, StoreEra, Version};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::client::StoreError;
 use crate::dialect::{
     Collection, Freshness, ListPage, NextPage, StoreDialect, StoreMethod, StoreRequest, WatchPage,
 };
 use crate::object::{ObjectKey, ObjectKind, StoredObject, WriteId};
+use crate::part::{AnswerText, SkippedObject};
 
 /// HTTP status of a watch from a revision that the store's history no longer covers.
 pub const REVISION_GONE_STATUS: u16 = 410;
@@ -51,6 +53,28 @@
     pub events: Vec<ObjectBody>,
 }
 
+/// `ListBody` whose objects are not decoded yet.
+#[derive(Debug, Deserialize)]
+struct ListParts<'a> {
+    revision: Revision,
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
+}
+
+/// `WatchBody` whose objects are not decoded yet.
+#[derive(Debug, Deserialize)]
+struct WatchParts<'a> {
+    revision: Revision,
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
+}
+
+#[derive(Debug, Deserialize)]
+struct NamedBody {
+    kind: String,
+    name: String,
+}
+
 /// Body of a write.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PutBody {
@@ -122,22 +146,26 @@
     }
 
     fn list_answer(&self, _: Collection, body: &[u8]) -> Result<ListPage, StoreError> {
-        let body: ListBody = parse(body)?;
+        let text = AnswerText::new(body);
+        let body: ListParts<'_> = text.parse().map_err(|_| StoreError::Malformed)?;
+        let (objects, skipped) = read_objects(&text, body.objects);
         Ok(ListPage {
             revision: body.revision,
-            objects: body.objects,
+            objects,
             next: NextPage::End,
-            skipped: Vec::new(),
+            skipped,
         })
     }
 
     fn watch_answer(&self, _: Collection, body: &[u8]) -> Result<WatchPage, StoreError> {
-        let body: WatchBody = parse(body)?;
+        let text = AnswerText::new(body);
+        let body: WatchParts<'_> = text.parse().map_err(|_| StoreError::Malformed)?;
+        let (changes, skipped) = read_objects(&text, body.events);
         Ok(WatchPage {
             revision: body.revision,
-            changes: body.events,
+            changes,
             removed: Vec::new(),
-            skipped: Vec::new(),
+            skipped,
         })
     }
 
@@ -156,6 +184,27 @@
     }
 }
 
+/// Decodes the objects that can be read.
+fn read_objects(
+    text: &AnswerText<'_>,
+    parts: Vec<&RawValue>,
+) -> (Vec<ObjectBody>, Vec<SkippedObject>) {
+    let mut objects = Vec::with_capacity(parts.len());
+    let mut skipped = Vec::new();
+    for part in parts {
+        match text.parse_part(part) {
+            Ok(object) => objects.push(object),
+            Err(error) => {
+                let named = serde_json::from_str::<NamedBody>(part.get());
+                let name =
+                    named.map_or_else(|_| String::new(), |it| format!("{}/{}", it.kind, it.name));
+                skipped.push(SkippedObject::new(name, error));
+            }
+        }
+    }
+    (objects, skipped)
+}
+
 pub(crate) fn parse<Body: DeserializeOwned>(body: &[u8]) -> Result<Body, StoreError> {
     serde_json::from_slice(body).map_err(|_| StoreError::Malformed)
 }
