Read an answer of the store for as long as its parts arrive

What callers would see: a large configuration that is never in force at a balancer behind a slow or full link.

The body of an answer had the time of an attempt (0.8 s beyond the wait of a watch, 2.5 s for a listing in all). If it needs longer, the call fails and the next one starts from the beginning, with the same limit. Each part of an answer now has that time, and the whole answer 10 s, for lists, watches and reads of both interfaces. A balancer whose answer takes longer than that of a watch without changes no longer counts as watching meanwhile, so that a silent store is noticed by others as early as before, and it fetches a newer version from another balancer once one has it.

Before: a_large_configuration_arrives_over_a_slow_link (1,400 routes, 16 KB in each 200 ms) fails after 20 s. After: it passes.

--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -516,7 +516,7 @@
         let is_in_force = self.machine().is_latest_report(&report);
         if !is_in_force {
             log::warn!(
-                upstream = report.id,
+                upstream:% = report.id,
                 born_ms = report.born_ms,
                 sequence = report.sequence;
                 "relay: Stale heartbeat rejected."
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -3,13 +3,15 @@
 //! A few balancers watch the store; the others fetch newer versions from one of these.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hawthorntide_opaque::{Configuration, ConfigurationTask};
 use hawthorntide_platform::parse_configuration;
 use hawthorntide_store::{
-    Collection, Freshness, ObjectBody, ObjectStore, StoreError, WatchCursor, WatchStep,
+    Collection, CollectionChanges, CollectionListing, Freshness, ObjectBody, ObjectStore,
+    StoreError, WatchCursor, WatchStep,
 };
 use hawthorntide_types::{DurationMs, Version};
 use tokio::time::sleep;
@@ -23,6 +25,10 @@
 /// a change has to be in force.
 const MAX_WATCH_WAIT_MS: DurationMs = DurationMs(1_000);
 
+/// Time after which a balancer no longer counts as watching while it waits for an answer of the store: that
+/// of a watch without an answer. A large answer may still be on its way over a slow link.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(MAX_WATCH_WAIT_MS.get() + 800);
+
 /// Pause after a change, so that a burst of changes costs few calls.
 const DEBOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -87,9 +93,9 @@
             continue;
         }
         let step = cursor.next_step(MAX_WATCH_WAIT_MS);
-        let call = call_store(&store, step, &mut cursor, &mut on_event);
+        let mut call = pin!(call_store(&store, step));
         let result = tokio::select! {
-            result = call => result,
+            result = &mut call => result,
             peer = wait_for_missed_change(&newer_peer, watch_lag), if is_watching => {
                 log::warn!(peer:% = peer; "relay: The watch missed a change of the configuration that another balancer has.");
                 fetch_from_peer(&peers, peer, &mut on_event).await;
@@ -97,14 +103,26 @@
                 watch_lag = if newer_peer().is_some() { RETRY_LAG } else { MAX_WATCH_LAG };
                 continue;
             }
+            () = sleep(MAX_ANSWER_TIME), if is_watching => {
+                log::info!("relay: The answer of the store takes long.");
+                is_watching = false;
+                on_event(ConfigurationEvent::NotWatching);
+                tokio::select! {
+                    result = &mut call => result,
+                    () = wait_for_peer(&task) => continue,
+                }
+            }
             // The first call of a watch may wait on a silent connection.
             () = wait_for_peer(&task), if !is_watching => continue,
         };
-        match result {
-            Ok(()) => {
+        match result.and_then(|answer| report_answer(answer, &mut cursor, &mut on_event)) {
+            Ok(has_changed) => {
                 has_configuration = true;
                 is_watching = true;
                 backoff.reset();
+                if has_changed {
+                    sleep(DEBOUNCE_INTERVAL).await;
+                }
             }
             Err(error) => {
                 is_watching = false;
@@ -183,55 +201,56 @@
     }
 }
 
-async fn call_store(
-    store: &ObjectStore,
-    step: WatchStep,
-    cursor: &mut WatchCursor,
-    on_event: &mut impl FnMut(ConfigurationEvent),
-) -> Result<(), StoreError> {
-    match step {
-        WatchStep::List => list(store, cursor, on_event).await,
-        WatchStep::Watch { from, wait_ms } => watch(store, from, wait_ms, cursor, on_event).await,
-    }
+/// Answer of the store to a `WatchStep`.
+#[derive(Debug)]
+enum StoreAnswer {
+    Listing(CollectionListing),
+    Changes {
+        from: Version,
+        changes: CollectionChanges,
+    },
 }
 
-async fn list(
-    store: &ObjectStore,
-    cursor: &mut WatchCursor,
-    on_event: &mut impl FnMut(ConfigurationEvent),
-) -> Result<(), StoreError> {
-    let listing = store
-        .list_collection(Collection::Configuration, Freshness::Current)
-        .await?;
-    if listing.objects.is_empty() && !listing.is_complete {
-        return Err(StoreError::Malformed);
+async fn call_store(store: &ObjectStore, step: WatchStep) -> Result<StoreAnswer, StoreError> {
+    let collection = Collection::Configuration;
+    match step {
+        WatchStep::List => {
+            let listing = store.list_collection(collection, Freshness::Current);
+            listing.await.map(StoreAnswer::Listing)
+        }
+        WatchStep::Watch { from, wait_ms } => {
+            let changes = store.watch_collection(collection, from, wait_ms).await?;
+            Ok(StoreAnswer::Changes { from, changes })
+        }
     }
-    report_latest(&listing.objects, on_event)?;
-    on_event(ConfigurationEvent::Current);
-    cursor.listed(listing.position);
-    Ok(())
 }
 
-async fn watch(
-    store: &ObjectStore,
-    from: Version,
-    wait_ms: DurationMs,
+/// Reports an answer of the store and moves the cursor behind it; returns whether a watch reported changes.
+fn report_answer(
+    answer: StoreAnswer,
     cursor: &mut WatchCursor,
     on_event: &mut impl FnMut(ConfigurationEvent),
-) -> Result<(), StoreError> {
-    let page = store
-        .watch_collection(Collection::Configuration, from, wait_ms)
-        .await?;
-    report_latest(&page.changes, on_event)?;
-    on_event(ConfigurationEvent::Current);
-    if cursor.is_interrupted() {
-        log::info!(from:% = from, reached:% = page.position; "relay: Watch of the configuration resumed.");
-    }
-    cursor.watched(page.position);
-    if !page.changes.is_empty() {
-        sleep(DEBOUNCE_INTERVAL).await;
+) -> Result<bool, StoreError> {
+    match answer {
+        StoreAnswer::Listing(listing) => {
+            if listing.objects.is_empty() && !listing.is_complete {
+                return Err(StoreError::Malformed);
+            }
+            report_latest(&listing.objects, on_event)?;
+            on_event(ConfigurationEvent::Current);
+            cursor.listed(listing.position);
+            Ok(false)
+        }
+        StoreAnswer::Changes { from, changes } => {
+            report_latest(&changes.changes, on_event)?;
+            on_event(ConfigurationEvent::Current);
+            if cursor.is_interrupted() {
+                log::info!(from:% = from, reached:% = changes.position; "relay: Watch of the configuration resumed.");
+            }
+            cursor.watched(changes.position);
+            Ok(!changes.changes.is_empty())
+        }
     }
-    Ok(())
 }
 
 /// Reports the latest configuration. One that cannot be read is an error, so that it is read again and
--- a/crates/relay/tests/configuration_in_time.rs
+++ b/crates/relay/tests/configuration_in_time.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use hawthorntide_standins::{CallError, Caller, ProxyMode, Router, Store, TcpProxy};
+use hawthorntide_standins::{CallError, Caller, ProxyMode, RouteSpec, Router, Store, TcpProxy};
 use hawthorntide_types::NodeId;
 use serde_json::json;
 use tokio::time::sleep;
@@ -109,3 +110,24 @@
     expect_true!(has_version(61, 7, APPLY_TIMEOUT).await);
     expect_that!(caller.open(unknown).await.err(), some(eq(CallError::Reset)));
 }
+
+// Guards against a large configuration over a slow link that never arrives: each call ends by its time limit
+// while the answer is still on its way, and the next one starts from the beginning.
+#[gtest]
+#[tokio::test]
+async fn a_large_configuration_arrives_over_a_slow_link() {
+    let (store_address, proxy_address) = (address(109, 27_730), address(108, 27_730));
+    let store = Store::bind(store_address).await.unwrap();
+    let proxy = TcpProxy::bind(proxy_address, store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let _balancer = spawn_balancer(101, 101, proxy_address).await;
+    expect_true!(has_version(101, 3, TEST_TIMEOUT).await);
+    // 16 KB in each 200 ms.
+    proxy.set_mode(ProxyMode::Delay(Duration::from_millis(200)));
+    let routes = (0..1_400).map(|number| RouteSpec {
+        service_address: SocketAddr::from(([198, 18, 1, 1], 1_000 + number)),
+        service: "service".to_owned(),
+    });
+    store.configure(5, &routes.collect::<Vec<_>>());
+    expect_true!(has_version(101, 5, TEST_TIMEOUT).await);
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -26,11 +26,17 @@
 /// An idle connection is not used again after this time: it may have fallen silent since.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
 
+/// Limit of an answer whose parts keep arriving. A large listing takes some seconds over a link that is
+/// full or loses packets, and would take as long in the next attempt.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(10);
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreOptions {
-    /// Limit of one call with all its retries and, after a lost response, the check of its outcome.
+    /// Limit of one call with all its retries until an answer starts and, after a lost response, the check
+    /// of its outcome.
     pub deadline_ms: DurationMs,
-    /// Limit of one attempt; for a watch, counted from the end of the requested wait.
+    /// Limit of one attempt until its answer starts, and of the time between two parts of an answer; for
+    /// a watch, counted from the end of the requested wait.
     pub attempt_ms: DurationMs,
     /// Seed of the backoff jitter.
     pub seed: u64,
@@ -200,7 +206,7 @@
             .send_with_retries(|| self.request(&call), deadline)
             .await?;
         let era = answer.era;
-        let body = read_body(answer.response, deadline).await?;
+        let body = self.read_answer(answer.response).await?;
         let mut page = self.dialect.list_answer(collection, &body)?;
         self.skipped.report(std::mem::take(&mut page.skipped));
         Ok((era, page))
@@ -230,7 +236,7 @@
         let answer = self.send_expecting_ok(self.request(&call), deadline).await;
         let answer = answer.map_err(AttemptError::store_error)?;
         let era = answer.era;
-        let body = read_body(answer.response, deadline).await?;
+        let body = self.read_answer(answer.response).await?;
         let page = self.dialect.watch_answer(collection, &body)?;
         self.skipped.report(page.skipped);
         // Revisions go back without notice if the store does not report its era.
@@ -276,7 +282,7 @@
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
             StatusCode::OK => {
-                let body = read_body(response, deadline).await;
+                let body = self.read_answer(response).await;
                 let body = body.map_err(|_| AttemptError::Ambiguous)?;
                 let object = self.dialect.read_answer(&body);
                 let object = object.map_err(|_| AttemptError::Ambiguous)?;
@@ -386,6 +392,23 @@
         }
     }
 
+    /// Reads an answer for as long as its parts keep arriving.
+    async fn read_answer(&self, mut response: Response) -> Result<Vec<u8>, StoreError> {
+        let end = Instant::now() + MAX_ANSWER_TIME;
+        let mut body = Vec::new();
+        loop {
+            match timeout_at(self.attempt_deadline(end), response.chunk()).await {
+                Ok(Ok(Some(part))) => body.extend_from_slice(&part),
+                Ok(Ok(None)) => return Ok(body),
+                Ok(Err(_)) => return Err(StoreError::Unavailable),
+                Err(_) => {
+                    self.leave_connections();
+                    return Err(StoreError::Unavailable);
+                }
+            }
+        }
+    }
+
     /// Makes later calls use new connections: those that were open when a call got no answer may all
     /// be silent, and each would cost the time of an attempt. Calls in flight are not affected.
     fn leave_connections(&self) {
