--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -14,7 +14,7 @@
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
     parse_caller_packet, request_class, set_request_class,
 };
-use hawthorntide_types::{DurationMs, ResultCode, TimeMs};
+use hawthorntide_types::{ConfigurationVersion, DurationMs, ResultCode, TimeMs};
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
@@ -378,6 +378,10 @@
 }
 
 impl ConfigurationSource for Shared {
+    fn version(&self) -> ConfigurationVersion {
+        self.machine().routes().version()
+    }
+
     fn configuration(&self) -> Option<Configuration> {
         self.machine().routes().configuration().cloned()
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -450,7 +450,7 @@
 }
 
 fn open_client() -> Result<Client, StoreError> {
-    let builder = Client::builder().no_proxy().tcp_nodelay(true);
+    let builder = Client::builder().no_proxy().no_gzip().tcp_nodelay(true);
     let builder = builder.pool_idle_timeout(MAX_IDLE_TIME);
     builder.build().map_err(|_| StoreError::Unavailable)
 }
