--- a/crates/relay/tests/odd_entries.rs
+++ b/crates/relay/tests/odd_entries.rs
@@ -5,28 +5,13 @@
 use googletest::prelude::*;
 use hawthorntide_standins::Store;
 use hawthorntide_store::ObjectKind;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use common::{
     APPLY_TIMEOUT, TEST_TIMEOUT, address, becomes_true, has_version, object_name, route,
     spawn_agent, spawn_balancer,
 };
 
-fn write_odd_objects(store: &Store) {
-    let odd = [
-        Value::Null,
-        json!({ "meta": null }),
-        json!({ "meta": { "name": 7, "rev": 4 } }),
-        json!({ "meta": { "name": "directory.x", "rev": 1.8e20 }, "spec": "x" }),
-        json!({ "meta": { "name": "directory.y", "rev": 4 }, "spec": "{}" }),
-    ];
-    for (number, object) in odd.into_iter().enumerate() {
-        for kind in ["config", "hawthorntide", "hawthorntide-flows"] {
-            store.write_odd_object(kind, format!("odd-{number}"), object.clone());
-        }
-    }
-}
-
 // Guards against a watch that gets the same answer for ever because of one object that cannot be read,
 // and against a process that learns of no other because of one entry of the directory.
 #[gtest]
@@ -37,7 +22,7 @@
     store.configure(3, &[route(1)]);
     let _first = spawn_balancer(51, 51, store_address).await;
     expect_true!(has_version(51, 3, TEST_TIMEOUT).await);
-    write_odd_objects(&store);
+    (0..24).for_each(|number| store.write_as_other_program(number));
     store.configure(5, &[route(2)]);
     expect_true!(has_version(51, 5, APPLY_TIMEOUT).await);
     let _second = spawn_balancer(52, 52, store_address).await;
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -81,6 +81,8 @@
     store: Store,
     /// Latest one last.
     copies: VecDeque<StoreCopy>,
+    /// Writes of another program into the kinds of the system.
+    odd_writes: u64,
     network: u8,
 }
 
@@ -133,6 +135,7 @@
             routes: Vec::new(),
             store,
             copies: VecDeque::new(),
+            odd_writes: 0,
             network,
         };
         deployment.configure(false);
@@ -153,8 +156,10 @@
         self.store.configure(self.version, &self.routes);
     }
 
-    /// Takes a copy of the store; called once a second.
+    /// Takes a copy of the store after another program has written to it; called once a second.
     pub(crate) fn copy_store(&mut self) {
+        self.store.write_as_other_program(self.odd_writes);
+        self.odd_writes += 1;
         self.copies.push_back(self.store.copy());
         if self.copies.len() > MAX_COPIES {
             self.copies.pop_front();
