Keep the definition of a service that another program overwrote

What callers would see: agents of the service that get no change of its profile any more.

A service whose new content cannot be read was taken out of the index by which agents get their service and its profile. A definition is now replaced by a later one that can be read, or removed with the service; the balancer's own table did so before.

Before: a_service_that_another_program_overwrote_keeps_its_definition finds no object of the service after each odd content. After: it passes. Looked at and left: profiles, whose last readable content stays in force at each balancer, and watcher slots, which count as free.

--- a/crates/configuration/src/replica.rs
+++ b/crates/configuration/src/replica.rs
@@ -221,11 +221,16 @@
         self.buckets[bucket_of(object.key())] ^= state_hash(&object);
         if object.is_deleted {
             self.tombstones += 1;
+            if object.kind == SERVICE_KIND {
+                self.services
+                    .retain(|entry| entry.name.as_str() != object.name);
+            }
             return;
         }
         if object.kind != SERVICE_KIND {
             return;
         }
+        // A definition that cannot be read, as another program may write it, replaces none.
         let Ok(service) = serde_json::from_slice::<Service>(&object.value) else {
             return;
         };
@@ -246,16 +251,12 @@
         }
     }
 
-    /// Reverts [`Self::add_to_indexes`] for `object`.
+    /// Reverts [`Self::add_to_indexes`] for `object`, but for the services, which a later object replaces.
     fn remove_from_indexes(&mut self, object: &Object) {
         self.buckets[bucket_of(object.key())] ^= state_hash(object);
         if object.is_deleted {
             self.tombstones -= 1;
         }
-        if object.kind == SERVICE_KIND {
-            self.services
-                .retain(|entry| entry.name.as_str() != object.name);
-        }
     }
 
     fn evict_tombstones(&mut self) {
--- a/crates/configuration/tests/replica.rs
+++ b/crates/configuration/tests/replica.rs
@@ -120,6 +120,29 @@
     expect_that!(names(&replica), elements_are![eq("stockd"), eq("p2")]);
 }
 
+// Agents of the service would get no change of its profile any more.
+#[gtest]
+fn a_service_that_another_program_overwrote_keeps_its_definition() {
+    let object = |kind: &str, name: &str, version, value: &str| Object {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        version: Version(version),
+        is_deleted: false,
+        write_id: String::new(),
+        value: value.as_bytes().to_vec(),
+    };
+    let definition = r#"{"name":"stockd","profile":"urgent","addresses":["127.0.0.1:9000"]}"#;
+    let mut replica = Replica::default();
+    replica.apply(object("service", "stockd", 1, definition));
+    replica.apply(object("profile", "urgent", 2, "{}"));
+    let id = ServiceId::of_name(&"stockd".parse().unwrap());
+    expect_that!(replica.of_service(id).len(), eq(2));
+    for (version, odd) in [(3, "7"), (4, "{\"name\":\"other\"}"), (5, "\"text\"")] {
+        replica.apply(object("service", "stockd", version, odd));
+        expect_that!(replica.of_service(id).len(), eq(2), "{odd}");
+    }
+}
+
 // Guards against memory exhaustion by large values.
 #[gtest]
 fn oversized_objects_are_refused() {
