--- a/crates/configuration/tests/replica.rs
+++ b/crates/configuration/tests/replica.rs
@@ -137,9 +137,9 @@
     replica.apply(object("profile", "urgent", 2, "{}"));
     let id = ServiceId::of_name(&"stockd".parse().unwrap());
     expect_that!(replica.of_service(id).len(), eq(2));
-    for (version, odd) in [(3, "7"), (4, "{\"name\":\"other\"}"), (5, "\"text\"")] {
-        replica.apply(object("service", "stockd", version, odd));
-        expect_that!(replica.of_service(id).len(), eq(2), "{odd}");
+    for (version, malformed) in [(3, "7"), (4, "{\"name\":\"other\"}"), (5, "\"text\"")] {
+        replica.apply(object("service", "stockd", version, malformed));
+        expect_that!(replica.of_service(id).len(), eq(2), "{malformed}");
     }
 }
 
--- a/crates/opaque/tests/gossip.rs
+++ b/crates/opaque/tests/gossip.rs
@@ -418,7 +418,7 @@
 // An entry of another program at the address of a running process must not hide its later states, and one of
 // a process that does not exist must not pass for a balancer that watches or has a newer configuration.
 #[gtest]
-fn an_odd_directory_entry_counts_for_nothing_that_messages_tell() {
+fn a_foreign_directory_entry_counts_for_nothing_that_messages_tell() {
     let mut mesh = Mesh::start(8);
     mesh.run_for(SETTLED_AFTER_MS);
     let gone = Peer {
@@ -461,14 +461,14 @@
         "255.255.255.255:7720",
         "[::1]:7720",
     ];
-    let odd = addresses.map(|address| Peer {
+    let malformed = addresses.map(|address| Peer {
         address: address.parse().unwrap(),
         ..peer_record(9, 1)
     });
     let mut actions = Vec::new();
     machine.handle(
         TimeMs(1_000),
-        GossipEvent::Directory(odd.to_vec()),
+        GossipEvent::Directory(malformed.to_vec()),
         &mut actions,
     );
     machine.handle(TimeMs(1_250), GossipEvent::Round, &mut actions);
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -172,23 +172,14 @@
         }
     }
 
-    /// Decodes entries. Skips those of other programs, also if their name is not that of their address.
+    /// Decodes entries. Skips those that are malformed, or whose name is not that of their address.
     fn peers(&self, entries: Vec<StoredObject>) -> Vec<Peer> {
-        let decode = |entry: StoredObject| {
-            let name = entry.key.to_string();
-            let skip = |reason: String| self.store.report_skipped(SkippedObject::new(name, reason));
-            match serde_json::from_value::<Peer>(entry.value) {
-                Ok(peer) if object_key(entry.key.kind, &peer).as_ref() == Some(&entry.key) => {
-                    Some(peer)
-                }
-                Ok(peer) => {
-                    skip(format!("the entry is of {}", peer.address));
-                    None
-                }
-                Err(error) => {
-                    skip(error.to_string());
-                    None
-                }
+        let decode = |entry: StoredObject| match decode_entry(&entry) {
+            Ok(peer) => Some(peer),
+            Err(reason) => {
+                let skipped = SkippedObject::new(entry.key.to_string(), reason);
+                self.store.report_skipped(skipped);
+                None
             }
         };
         entries.into_iter().filter_map(decode).collect()
@@ -248,3 +239,13 @@
         .filter(|object| object.key.kind == ObjectKind::Directory && !object.is_deleted)
         .collect()
 }
+
+/// Decodes an entry; returns the reason if it cannot be used.
+fn decode_entry(entry: &StoredObject) -> Result<Peer, String> {
+    let peer: Peer =
+        serde_json::from_value(entry.value.clone()).map_err(|error| error.to_string())?;
+    if object_key(entry.key.kind, &peer).as_ref() != Some(&entry.key) {
+        return Err(format!("the entry is of {}", peer.address));
+    }
+    Ok(peer)
+}
--- a/crates/relay/tests/odd_entries.rs
+++ b/crates/relay/tests/malformed_objects.rs
@@ -1,4 +1,4 @@
-//! Tests that processes go on beside objects that another program wrote into their kinds.
+//! Tests that processes keep working beside objects that another program wrote into their kinds.
 
 mod common;
 
@@ -16,7 +16,7 @@
 // and against a process that learns of no other because of one entry of the directory.
 #[gtest]
 #[tokio::test]
-async fn changes_are_in_force_in_time_beside_odd_objects() {
+async fn changes_are_in_force_in_time_beside_malformed_objects() {
     let store_address = address(59, 27_730);
     let store = Store::bind(store_address).await.unwrap();
     store.configure(3, &[route(1)]);
@@ -46,7 +46,7 @@
     expect_true!(becomes_true(|| entry().is_some(), TEST_TIMEOUT).await);
     let spec = json!({ "x": 1 });
     let object = json!({ "meta": { "name": name, "rev": 1_000 }, "spec": spec });
-    store.write_odd_object("hawthorntide", &name, object);
+    store.write_malformed_object("hawthorntide", &name, object);
     let is_ours = || entry().is_some_and(|it| it != spec);
     expect_true!(becomes_true(is_ours, TEST_TIMEOUT).await);
 }
--- a/crates/store/tests/protocol.rs
+++ b/crates/store/tests/protocol.rs
@@ -7,19 +7,19 @@
 /// Guards against profiles and services that nobody reads, or whose changes nobody sees any more, because
 /// of one object that another program wrote.
 #[gtest]
-fn an_odd_object_hides_no_other() {
+fn a_malformed_object_hides_no_other() {
     let good =
         |name: &str| format!(r#"{{"kind":"profile","name":"{name}","version":3,"value":"{{}}"}}"#);
     let deep = format!("{}{}", "[".repeat(5_000), "]".repeat(5_000));
-    let odd = [
+    let malformed = [
         "null".to_owned(),
         r#"{"kind":"profile","name":"x","version":18446744073709551616,"value":"{}"}"#.to_owned(),
         r#"{"kind":"profile","name":7,"version":3,"value":"{}"}"#.to_owned(),
         format!(r#"{{"kind":"profile","name":"x","version":3,"value":{deep}}}"#),
         r#"{"kind":"profile","name":"x","version":3,"value":"~"}"#.to_owned(),
     ];
-    for odd in odd {
-        let objects = [good("a"), odd, good("b")].join(",");
+    for malformed in malformed {
+        let objects = [good("a"), malformed, good("b")].join(",");
         let bytes = |body: String| -> Vec<u8> {
             let body = body.into_bytes().into_iter();
             body.map(|byte| if byte == b'~' { 0xff } else { byte })
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -82,7 +82,7 @@
     /// Latest one last.
     copies: VecDeque<StoreCopy>,
     /// Writes of another program into the kinds of the system.
-    odd_writes: u64,
+    foreign_writes: u64,
     network: u8,
 }
 
@@ -135,7 +135,7 @@
             routes: Vec::new(),
             store,
             copies: VecDeque::new(),
-            odd_writes: 0,
+            foreign_writes: 0,
             network,
         };
         deployment.configure(false);
@@ -158,8 +158,8 @@
 
     /// Takes a copy of the store after another program has written to it; called once a second.
     pub(crate) fn copy_store(&mut self) {
-        self.store.write_as_other_program(self.odd_writes);
-        self.odd_writes += 1;
+        self.store.write_as_other_program(self.foreign_writes);
+        self.foreign_writes += 1;
         self.copies.push_back(self.store.copy());
         if self.copies.len() > MAX_COPIES {
             self.copies.pop_front();
