Find open flows through two registrars computed from the flow

Cause: a packet of a flow whose owner its balancer does not know visited one agent after the other, those of the selected service first, and was dropped after 96 of them (`HopLimit`). With 109 agents of the selected service it never reached a flow of the other one, so after a restart of its balancer such a flow was lost without a reset: FLOW broken, and requests without an answer until their deadline. The same limit kept searches for flows that had ended from ever being exhausted.

Change: the owner registers each open flow with the two agents that rank first for it. A search asks the likely owner, then the registrars, then the others; retransmissions begin it at another agent each time, so one that has just died does not end all of them. The limit on visited agents only bounds the size of the message now.

Ruled out: a search in the order of the route's services (still linear in the fleet), announcements to all balancers (their caches are lost with them).

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -16,6 +16,7 @@
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
 use crate::placement::DomainTag;
 use crate::record::{FlowRecord, PreviousRecord, record_interval_ms};
+use crate::registrar::{OwnRegistrations, Registrar, RegistrationMessage};
 use crate::requests::{HeldPacket, RequestChange, Requests};
 use crate::segment::{Segment, SegmentKind};
 use crate::upstream::{ReportKind, UpstreamHealth, UpstreamReport};
@@ -36,8 +37,9 @@
 /// that, an agent accepts the flow although its request has to wait.
 const MAX_BUSY_HANDOFFS: usize = 2;
 
-/// Agents that a packet may visit before it is dropped.
-const MAX_VISITED: usize = 96;
+/// Agents that a packet may visit before it is dropped. The list of them has eight kilobytes then, half
+/// of the size limit of messages.
+const MAX_VISITED: usize = 1_024;
 
 #[derive(Clone, Debug)]
 pub struct AgentOptions {
@@ -92,6 +94,11 @@
         /// The VM refused the connection: no process listens there.
         is_refused: bool,
     },
+    /// Another agent registers open flows that it owns.
+    FlowsRegistered {
+        owner: SocketAddr,
+        flows: Vec<FlowKey>,
+    },
     Gossip(GossipEvent),
 }
 
@@ -134,6 +141,11 @@
         to: SocketAddr,
         flow: FlowKey,
     },
+    /// Registers open flows of this agent with the agent `to`.
+    RegisterFlows {
+        to: SocketAddr,
+        flows: Vec<FlowKey>,
+    },
     Drop(ResultCode),
     /// Sends the caller a reset for a flow that ended with its upstream.
     Reset {
@@ -164,6 +176,9 @@
     gossip: GossipMachine,
     service: ServiceName,
     flows: FlowTable,
+    /// Flows of other agents.
+    registrar: Registrar,
+    own_registrations: OwnRegistrations,
     requests: Requests,
     pending: PendingPackets,
     phase: Phase,
@@ -184,6 +199,8 @@
             gossip: GossipMachine::new(options.local_peer, options.seed),
             service: options.service,
             flows: FlowTable::new(options.flow_idle_ms),
+            registrar: Registrar::default(),
+            own_registrations: OwnRegistrations::default(),
             requests: Requests::new(),
             pending: PendingPackets::new(options.seed as u32),
             phase: Phase::Joining,
@@ -273,9 +290,13 @@
             AgentEvent::Tick => self.handle_tick(now, out),
             AgentEvent::Measure => {
                 self.measure_load();
+                self.register_flows(now, out);
                 self.handle_tick(now, out);
             }
             AgentEvent::Probed { is_refused } => self.handle_probe_result(now, is_refused, out),
+            AgentEvent::FlowsRegistered { owner, flows } => {
+                self.registrar.register(now, owner, flows);
+            }
             AgentEvent::Gossip(event) => self.handle_gossip(now, event, out),
         }
     }
@@ -296,6 +317,12 @@
             self.forward_to_next(now, search, segment, None, out);
             return;
         }
+        // Another agent sent the packet here because this one registered its flow.
+        let is_expected = search.visited.contains(&self.local_address());
+        if !is_expected && let Some(owner) = self.registered_owner(now, &search, segment) {
+            out.push(forward_to_owner(owner, search, None));
+            return;
+        }
         if self.flows.contains(&segment.flow) {
             match self.flows.handle_caller_packet(now, segment) {
                 Some(kind) => self.handle_owned(now, search, segment, kind, packet, out),
@@ -332,6 +359,9 @@
                 flow: segment.flow,
             });
         }
+        if segment.kind == SegmentKind::Established {
+            self.register_flow(now, segment.flow, out);
+        }
         // An opening packet may belong to a new flow with the addresses of the old one, whose request
         // must not reach it.
         if segment.kind == SegmentKind::Reset || segment.is_opening() {
@@ -409,7 +439,7 @@
             return false;
         }
         let mut visited = search.visited.clone();
-        visited.push(self.gossip.local_peer().address);
+        visited.push(self.local_address());
         let query = AgentQuery {
             flow: &segment.flow,
             preferred_domain: search.preferred_domain,
@@ -503,7 +533,7 @@
             visited: &[],
             is_opening: false,
         };
-        let is_first = view.next_agent(now, query) == Some(self.gossip.local_peer().address);
+        let is_first = view.next_agent(now, query) == Some(self.local_address());
         let is_direct = pending.search.visited.is_empty() && !pending.is_retransmission;
         if is_first && is_direct && !pending.search.is_fallback_service {
             return;
@@ -518,6 +548,49 @@
         }
     }
 
+    /// Registers a flow whose caller completed the handshake, unless it is registered already.
+    fn register_flow(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
+        let local_address = self.local_address();
+        let view = self.gossip.view();
+        let messages = self.own_registrations.add(now, view, local_address, flow);
+        out.extend(messages.into_iter().map(register_action));
+    }
+
+    /// Registers the flows that are not registered yet, or whose registrars changed.
+    fn register_flows(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
+        let flows = &self.flows;
+        let messages = self.own_registrations.run_round(
+            now,
+            self.gossip.view(),
+            self.gossip.local_peer().address,
+            flows.open_flows(),
+            |flow| flows.contains(flow),
+        );
+        out.extend(messages.into_iter().map(register_action));
+    }
+
+    /// Returns the other agent that registered the flow of a packet, unless the packet has visited it or
+    /// it is gone.
+    fn registered_owner(
+        &self,
+        now: TimeMs,
+        search: &Search,
+        segment: &Segment,
+    ) -> Option<SocketAddr> {
+        if segment.is_opening() || self.flows.contains(&segment.flow) {
+            return None;
+        }
+        let owner = self.registrar.owner(&segment.flow)?;
+        let is_possible = owner != self.local_address()
+            && !search.visited.contains(&owner)
+            && self.gossip.view().may_own_flows(now, owner);
+        is_possible.then_some(owner)
+    }
+
+    fn local_address(&self) -> SocketAddr {
+        self.gossip.local_peer().address
+    }
+
     /// Forwards a packet that the upstream did not accept.
     fn reroute(&mut self, now: TimeMs, segment: &Segment, token: u32, out: &mut Vec<AgentAction>) {
         self.upstream.record_activity();
@@ -539,7 +612,8 @@
         self.forward_to_next(now, pending.search, segment, None, out);
     }
 
-    /// Forwards a packet to the next agent, or returns it to its balancer if none is left.
+    /// Forwards a packet to the agent that registered its flow, otherwise to the next one, or returns it
+    /// to its balancer if none is left.
     fn forward_to_next(
         &mut self,
         now: TimeMs,
@@ -548,10 +622,14 @@
         packet: Option<Vec<u8>>,
         out: &mut Vec<AgentAction>,
     ) {
-        let local_address = self.gossip.local_peer().address;
+        let local_address = self.local_address();
         if !search.visited.contains(&local_address) {
             search.visited.push(local_address);
         }
+        if let Some(owner) = self.registered_owner(now, &search, segment) {
+            out.push(forward_to_owner(owner, search, packet));
+            return;
+        }
         if search.visited.len() > MAX_VISITED {
             out.push(AgentAction::Drop(ResultCode::HopLimit));
             return;
@@ -721,3 +799,21 @@
         out.extend(actions.into_iter().map(AgentAction::Gossip));
     }
 }
+
+/// Forwards a packet to the agent that registered its flow. That agent counts as visited from then on, so
+/// that registrations of two agents that name each other cannot send the packet back and forth.
+fn forward_to_owner(owner: SocketAddr, mut search: Search, packet: Option<Vec<u8>>) -> AgentAction {
+    search.visited.push(owner);
+    AgentAction::ForwardToAgent {
+        to: owner,
+        search,
+        packet,
+    }
+}
+
+fn register_action(message: RegistrationMessage) -> AgentAction {
+    AgentAction::RegisterFlows {
+        to: message.to,
+        flows: message.flows,
+    }
+}
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -13,6 +13,7 @@
 use crate::message::Search;
 use crate::peer::{BalancerStatus, Peer, PeerRole};
 use crate::placement::DomainTag;
+use crate::registrar::REGISTRARS;
 use crate::route::{Configuration, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::view::AgentQuery;
@@ -33,13 +34,13 @@
 /// several, some usually remain when a failure domain is lost.
 const WATCHERS: usize = 3;
 
-/// Limit on the flows in the owner cache.
-const MAX_CACHED_OWNERS: usize = 100_000;
+/// Limit on the flows in the cache.
+const MAX_CACHED_FLOWS: usize = 100_000;
 
 /// Time between two scans of the cache for expired entries.
 const EXPIRY_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
-/// Idle timeout of cached owners before the first configuration is applied.
+/// Idle timeout of cached flows before the first configuration is applied.
 const DEFAULT_IDLE_MS: DurationMs = DurationMs(60_000);
 
 /// Time in which agents whose directory entries the platform store has lost restart and are known
@@ -70,10 +71,43 @@
     Idle,
 }
 
+/// What a balancer knows about a flow.
 #[derive(Clone, Copy, Debug)]
-struct CachedOwner {
-    owner: SocketAddr,
+struct CachedFlow {
+    /// Agent that takes the packets of the flow, if one is known.
+    owner: Option<SocketAddr>,
+    /// The owner announced itself; otherwise the opening packet was sent to it.
+    is_announced: bool,
     last_packet: TimeMs,
+    /// Sequence number of the latest packet with data.
+    last_sequence: Option<u32>,
+    /// Transmissions of that packet after the first one.
+    retransmissions: usize,
+}
+
+impl CachedFlow {
+    const fn new(now: TimeMs) -> Self {
+        Self {
+            owner: None,
+            is_announced: false,
+            last_packet: now,
+            last_sequence: None,
+            retransmissions: 0,
+        }
+    }
+
+    const fn record_packet(&mut self, now: TimeMs, segment: &Segment) {
+        self.last_packet = now;
+        if segment.payload_bytes == 0 && !segment.is_last {
+            return;
+        }
+        if matches!(self.last_sequence, Some(last) if last == segment.sequence) {
+            self.retransmissions += 1;
+        } else {
+            self.last_sequence = Some(segment.sequence);
+            self.retransmissions = 0;
+        }
+    }
 }
 
 /// State machine of a balancer.
@@ -93,7 +127,7 @@
     is_directory_read: bool,
     /// Until then, the first listing of the directory may lack agents.
     directory_incomplete_until: TimeMs,
-    cached_owners: HashMap<FlowKey, CachedOwner>,
+    cached_flows: HashMap<FlowKey, CachedFlow>,
     last_expiry: TimeMs,
 }
 
@@ -109,7 +143,7 @@
             fetches_since_store: 0,
             is_directory_read: false,
             directory_incomplete_until: TimeMs::default(),
-            cached_owners: HashMap::new(),
+            cached_flows: HashMap::new(),
             last_expiry: TimeMs::default(),
         }
     }
@@ -308,23 +342,29 @@
         !self.is_behind(now) && (is_confirmed || self.watchers(now).next().is_some())
     }
 
-    /// Caches which agent owns a flow. A full cache accepts no further flows.
-    pub fn cache_owner(&mut self, now: TimeMs, flow: FlowKey, owner: SocketAddr) {
+    /// Records that the agent `owner` announced that it owns a flow.
+    pub fn record_owner(&mut self, now: TimeMs, flow: FlowKey, owner: SocketAddr) {
         self.expire(now);
-        if self.cached_owners.len() >= MAX_CACHED_OWNERS && !self.cached_owners.contains_key(&flow)
-        {
-            return;
+        if let Some(cached) = self.cache_flow(now, flow) {
+            cached.owner = Some(owner);
+            cached.is_announced = true;
+            cached.last_packet = now;
         }
-        let cached = CachedOwner {
-            owner,
-            last_packet: now,
-        };
-        self.cached_owners.insert(flow, cached);
     }
 
-    /// Returns the number of flows with a cached owner.
+    /// Returns the entry of a flow in the cache. A full cache accepts no further flows.
+    fn cache_flow(&mut self, now: TimeMs, flow: FlowKey) -> Option<&mut CachedFlow> {
+        let is_full = self.cached_flows.len() >= MAX_CACHED_FLOWS;
+        if is_full && !self.cached_flows.contains_key(&flow) {
+            return None;
+        }
+        let cached = self.cached_flows.entry(flow);
+        Some(cached.or_insert_with(|| CachedFlow::new(now)))
+    }
+
+    /// Returns the number of cached flows.
     pub fn cached_flows(&self) -> usize {
-        self.cached_owners.len()
+        self.cached_flows.len()
     }
 
     /// Selects the agent for a packet of a caller.
@@ -356,24 +396,78 @@
             visited: Vec::new(),
             class: route.class,
         };
-        let is_first_attempt = matches!(segment.kind, SegmentKind::Opening { attempt: 0 });
-        let may_use_cache = !segment.is_opening() || is_first_attempt;
-        if may_use_cache && let Some(to) = self.cached_owner(now, flow) {
-            return BalancerDecision::Forward { to, search };
-        }
-        let attempt = match segment.kind {
-            SegmentKind::Opening { attempt } => attempt,
-            SegmentKind::Reset | SegmentKind::Established => 0,
+        let to = match segment.kind {
+            SegmentKind::Opening { attempt } => {
+                self.select_for_opening(now, segment, &search, attempt)
+            }
+            SegmentKind::Reset | SegmentKind::Established => {
+                self.select_for_established(now, segment, &search)
+            }
             SegmentKind::Accepting => return BalancerDecision::Drop(ResultCode::PacketMalformed),
         };
-        let Some(to) = self.select_agent(now, segment, &search, attempt) else {
-            return self.handle_no_agent_left(now, &search, segment);
-        };
-        if segment.is_opening() {
-            // Later packets go to the same agent even if the order of the agents changes.
-            self.cache_owner(now, *flow, to);
+        match to {
+            Some(to) => BalancerDecision::Forward { to, search },
+            None => self.handle_no_agent_left(now, &search, segment),
         }
-        BalancerDecision::Forward { to, search }
+    }
+
+    /// Selects the agent for an opening packet, and caches it: later packets go to the same agent even
+    /// if the order of the agents changes.
+    fn select_for_opening(
+        &mut self,
+        now: TimeMs,
+        segment: &Segment,
+        search: &Search,
+        attempt: u32,
+    ) -> Option<SocketAddr> {
+        if attempt == 0
+            && let Some(cached) = self.cached_owner(now, segment)
+        {
+            return cached.owner;
+        }
+        let to = self.select_agent(now, segment, search, attempt)?;
+        if let Some(cached) = self.cache_flow(now, segment.flow) {
+            *cached = CachedFlow {
+                owner: Some(to),
+                ..CachedFlow::new(now)
+            };
+        }
+        Some(to)
+    }
+
+    /// Selects the agent for a packet of an established flow: the owner if it announced itself. Otherwise
+    /// the search begins at another agent for each retransmission, so that one that has just died does
+    /// not end all of them.
+    fn select_for_established(
+        &mut self,
+        now: TimeMs,
+        segment: &Segment,
+        search: &Search,
+    ) -> Option<SocketAddr> {
+        if let Some(cached) = self.cache_flow(now, segment.flow) {
+            cached.record_packet(now, segment);
+        }
+        let cached = self.cached_owner(now, segment);
+        if let Some(cached) = cached
+            && cached.is_announced
+        {
+            return cached.owner;
+        }
+        let likely_owner = cached
+            .and_then(|cached| cached.owner)
+            .or_else(|| self.next_agent(now, segment, search));
+        let retransmissions = self
+            .cached_flows
+            .get(&segment.flow)
+            .map_or(0, |cached| cached.retransmissions);
+        let view = self.gossip.view();
+        let start = match retransmissions % (1 + REGISTRARS) {
+            0 => None,
+            // The search that begins at the likely owner reaches the first registrar next, so the last one
+            // is the best start for the first retransmission.
+            nth => view.registrars(now, &segment.flow)[REGISTRARS - nth],
+        };
+        start.or(likely_owner)
     }
 
     /// Continues the search for a packet that an agent returned because it knew no further agent.
@@ -383,7 +477,7 @@
         search: Search,
         segment: &Segment,
     ) -> BalancerDecision {
-        self.cached_owners.remove(&segment.flow);
+        self.forget_owner(&segment.flow);
         match self.next_agent(now, segment, &search) {
             Some(to) => BalancerDecision::Forward { to, search },
             None => self.handle_no_agent_left(now, &search, segment),
@@ -416,20 +510,29 @@
         view.next_agent(now, AgentQuery::for_packet(search, segment))
     }
 
-    fn cached_owner(&mut self, now: TimeMs, flow: &FlowKey) -> Option<SocketAddr> {
-        let cached = self.cached_owners.get_mut(flow)?;
+    /// Returns the cached flow of a packet if its owner is known and reachable.
+    fn cached_owner(&mut self, now: TimeMs, segment: &Segment) -> Option<CachedFlow> {
+        let cached = self.cached_flows.get_mut(&segment.flow)?;
         cached.last_packet = now;
-        let owner = cached.owner;
+        let cached = *cached;
+        let owner = cached.owner?;
         let view = self.gossip.view();
         let is_gone = view
             .find(owner)
             .and_then(Peer::agent)
             .is_none_or(|status| status.phase == Phase::Gone);
         if is_gone || view.is_unreachable(now, owner) {
-            self.cached_owners.remove(flow);
+            self.forget_owner(&segment.flow);
             return None;
         }
-        Some(owner)
+        Some(cached)
+    }
+
+    fn forget_owner(&mut self, flow: &FlowKey) {
+        if let Some(cached) = self.cached_flows.get_mut(flow) {
+            cached.owner = None;
+            cached.is_announced = false;
+        }
     }
 
     /// Handles a packet to a service address without a route. Resets the flow if the route was
@@ -486,7 +589,7 @@
             .routes
             .configuration()
             .map_or(DEFAULT_IDLE_MS, |it| it.flow_idle_ms);
-        self.cached_owners
+        self.cached_flows
             .retain(|_, flow| now.since(flow.last_packet) <= idle_ms);
     }
 }
--- a/crates/opaque/src/flow_table.rs
+++ b/crates/opaque/src/flow_table.rs
@@ -123,6 +123,15 @@
             .collect()
     }
 
+    /// Returns the flows whose callers have completed the handshake.
+    pub(crate) fn open_flows(&self) -> impl Iterator<Item = &FlowKey> {
+        let flows = self.flows.iter();
+        let is_open = |entry: &FlowEntry| !matches!(entry.state, FlowState::Accepting { .. });
+        flows
+            .filter(move |(_, entry)| is_open(entry))
+            .map(|(flow, _)| flow)
+    }
+
     /// Returns the open flows, at most `MAX_RECORDED_FLOWS`.
     pub(crate) fn record(&self) -> Vec<RecordedFlow> {
         let flows = self.flows.iter();
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -15,6 +15,7 @@
 mod pending;
 mod placement;
 mod record;
+mod registrar;
 mod requests;
 mod route;
 mod segment;
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -46,6 +46,8 @@
     },
     /// Peer records and suspicions.
     Gossip(Gossip),
+    /// Registers open flows that the sender, an agent, owns.
+    RegisterFlows(Vec<FlowKey>),
 }
 
 /// Reply that the sender of a gossip message requests; a reply also acknowledges the probe.
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, Phase, ServiceName, TimeMs};
+use hawthorntide_types::{DurationMs, Incarnation, Phase, ServiceName, TimeMs};
 
 use crate::message::Search;
 use crate::peer::{AgentStatus, FREE_LOAD, Peer};
 use crate::placement::{DomainTag, rank};
+use crate::registrar::Registrars;
 use crate::segment::Segment;
 
 /// A suspected peer counts as unreachable only after no process has reported it alive for this
@@ -346,14 +347,55 @@
         });
     }
 
+    /// Returns the addresses and incarnations of the reachable agents, sorted by address.
+    pub(crate) fn agent_incarnations(&self, now: TimeMs) -> Vec<(SocketAddr, Incarnation)> {
+        let agents = self.peers.iter();
+        agents
+            .filter(|entry| entry.reachable_agent(now).is_some())
+            .map(|entry| (entry.peer.address, entry.peer.incarnation))
+            .collect()
+    }
+
+    /// Returns the registrars of a flow: the reachable agents that rank first for it.
+    pub(crate) fn registrars(&self, now: TimeMs, flow: &FlowKey) -> Registrars {
+        let mut first = None;
+        let mut second = None;
+        for entry in &self.peers {
+            if entry.reachable_agent(now).is_none() {
+                continue;
+            }
+            let candidate = Some((rank(flow, entry.peer.address), entry.peer.address));
+            if candidate > first {
+                second = first;
+                first = candidate;
+            } else if candidate > second {
+                second = candidate;
+            }
+        }
+        [first, second].map(|ranked| ranked.map(|(_, address)| address))
+    }
+
+    /// Returns whether the flow of a packet may be at the agent at `address`. An agent that is not
+    /// known yet may have just joined.
+    pub(crate) fn may_own_flows(&self, now: TimeMs, address: SocketAddr) -> bool {
+        self.index(address)
+            .is_ok_and(|index| self.peers[index].reachable_agent(now).is_some())
+            || self.find(address).is_none()
+    }
+
     /// Returns the next agent to which a packet of the flow is sent.
     ///
     /// New flows go only to serving agents of the service. Loaded agents take a reduced share of
     /// them, unless all are loaded. An established flow may be owned by any reachable agent, since
-    /// the services of a route change; agents of the service come first. Suspected agents come last,
-    /// because a search ends at one that has died.
+    /// the services of a route change; the most likely owner comes first, then the registrars of the
+    /// flow, then the others. Suspected agents come last, because a search ends at one that has died.
     pub(crate) fn next_agent(&self, now: TimeMs, query: AgentQuery<'_>) -> Option<SocketAddr> {
         let mut best = None;
+        let registrars = if query.is_opening || query.visited.is_empty() {
+            Registrars::default()
+        } else {
+            self.registrars(now, query.flow)
+        };
         for entry in &self.peers {
             let Some(status) = entry.reachable_agent(now) else {
                 continue;
@@ -380,7 +422,10 @@
                     rank,
                 )
             } else {
-                let affinity = 2 * u64::from(is_of_service) + u64::from(is_preferred_domain);
+                let is_registrar = registrars.contains(&Some(entry.peer.address));
+                let affinity = 4 * u64::from(is_registrar)
+                    + 2 * u64::from(is_of_service)
+                    + u64::from(is_preferred_domain);
                 (!entry.is_doubtful(now), affinity, rank)
             };
             if best.is_none_or(|(best, _)| priority > best) {
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -185,6 +185,19 @@
 impl Fleet {
     /// Starts a fleet and runs it until all processes know each other.
     pub fn new(balancers: u8, agents: u8, services: u8) -> Self {
+        let agents = (0..agents).map(|number| number % services).collect();
+        Self::start(balancers, services, agents)
+    }
+
+    /// Starts a fleet with this number of agents of each service.
+    pub fn with_agents<const N: usize>(balancers: u8, agents: [u8; N]) -> Self {
+        let services = (0..).zip(agents);
+        let agents = services.flat_map(|(number, count)| std::iter::repeat_n(number, count.into()));
+        Self::start(balancers, N as u8, agents.collect())
+    }
+
+    /// Starts balancers and one agent for each entry of `agents`, which names its service.
+    fn start(balancers: u8, services: u8, agents: Vec<u8>) -> Self {
         let mut fleet = Self {
             now: TimeMs(1_000_000),
             balancers: BTreeMap::new(),
@@ -202,8 +215,8 @@
             discarded_flows: Vec::new(),
             probed: Vec::new(),
         };
-        for number in 0..agents {
-            fleet.add_agent(100 + number, number % services);
+        for (number, service_number) in (100..).zip(agents) {
+            fleet.add_agent(number, service_number);
         }
         for number in 0..balancers {
             fleet.start_balancer(number + 1);
@@ -436,7 +449,13 @@
             }
             PeerMessage::FlowOwner { flow, owner } => {
                 if let Some(balancer) = self.balancers.get_mut(&receiver) {
-                    balancer.cache_owner(self.now, flow, owner);
+                    balancer.record_owner(self.now, flow, owner);
+                }
+            }
+            PeerMessage::RegisterFlows(flows) => {
+                if self.agents.contains_key(&receiver) {
+                    let event = AgentEvent::FlowsRegistered { owner: from, flows };
+                    self.agent_event(receiver, event, None);
                 }
             }
             PeerMessage::Forward(_) | PeerMessage::Exhausted(_) => {}
@@ -513,6 +532,10 @@
                     };
                     transits.push(Transit::Message(local_address, to, message));
                 }
+                AgentAction::RegisterFlows { to, flows } => {
+                    let message = PeerMessage::RegisterFlows(flows);
+                    transits.push(Transit::Message(local_address, to, message));
+                }
                 AgentAction::Drop(code) => outcome = Some(Outcome::Dropped(code)),
                 AgentAction::Gossip(action) => transits.extend(sends(number, vec![action])),
                 AgentAction::Reset { flow, .. } => self.reset_flows.push(flow),
@@ -529,7 +552,8 @@
                 .is_request_waiting(&segment.flow)
                 .then_some(Outcome::Held(number))
         };
-        if transits.is_empty() && outcome.is_none() {
+        let is_message = |transit: &Transit| matches!(transit, Transit::Message(..));
+        if transits.iter().all(is_message) && outcome.is_none() {
             outcome = segment.and_then(is_held);
         }
         (transits, outcome)
--- /dev/null
+++ b/crates/opaque/tests/large_fleet.rs
@@ -0,0 +1,172 @@
+//! Tests that open flows are found in fleets of over a hundred agents, in a bounded number of hops.
+
+mod common;
+
+use common::{Fleet, IDLE_MS, Outcome, flow, peer_address, service, service_address};
+use googletest::prelude::*;
+use hawthorntide_opaque::{AgentEvent, Backend, Configuration, RequestClass, Route};
+use hawthorntide_routing::FlowKey;
+use hawthorntide_types::{ConfigurationVersion, ResultCode};
+
+/// Agents of the small service; they have the numbers from 100.
+const SMALL_SERVICE_AGENTS: u8 = 27;
+
+/// Agents of the large service.
+const LARGE_SERVICE_AGENTS: u8 = 109;
+
+/// Processes that a packet may pass: its balancer's first choice, the agents that know where the flow is,
+/// and the owner.
+const MAX_HOPS: usize = 5;
+
+/// A route to both services with these weights.
+fn weighted(version: u64, small_weight: u32, large_weight: u32) -> Configuration {
+    let backend = |number, weight| Backend {
+        service: service(number),
+        weight,
+    };
+    let route = Route {
+        service_address: service_address(0),
+        backends: vec![backend(0, small_weight), backend(1, large_weight)],
+        class: RequestClass::default(),
+    };
+    Configuration::new(ConfigurationVersion(version), vec![route], IDLE_MS)
+}
+
+fn apply_everywhere(fleet: &mut Fleet, configuration: &Configuration) {
+    for balancer in fleet.balancers.values_mut() {
+        balancer.apply(configuration.clone());
+    }
+}
+
+/// Starts a large fleet and opens flows, all of the small service.
+fn fleet_with_flows_of_the_small_service() -> (Fleet, Vec<(FlowKey, u8, u32)>) {
+    let mut fleet = Fleet::with_agents(6, [SMALL_SERVICE_AGENTS, LARGE_SERVICE_AGENTS]);
+    apply_everywhere(&mut fleet, &weighted(2, 1, 0));
+    let flows = (0..40)
+        .map(|caller| {
+            let key = flow(caller, 0);
+            let (agent, number) = fleet.open(1 + caller as u8 % 6, key).unwrap();
+            (key, agent, number)
+        })
+        .collect();
+    fleet.run_for(1_000);
+    (fleet, flows)
+}
+
+fn restart_balancers(fleet: &mut Fleet, configuration: &Configuration) {
+    for number in 1..=6 {
+        fleet.start_balancer(number);
+    }
+    apply_everywhere(fleet, configuration);
+    fleet.run_for(1_000);
+}
+
+fn expect_found(fleet: &mut Fleet, flows: &[(FlowKey, u8, u32)]) {
+    for (key, agent, number) in flows {
+        let balancer = 1 + (key.caller.port() % 5) as u8;
+        let taken = fleet.send_on_flow(balancer, *key, *number);
+        expect_that!(taken, eq(Outcome::Accepted(*agent)), "{key}");
+        expect_that!(fleet.hops, le(MAX_HOPS), "{key}");
+    }
+}
+
+// A search that visits the agents of the selected service first gave up before it reached those of another
+// one, so flows were lost once their balancer had restarted.
+#[gtest]
+fn flows_of_a_service_that_left_the_route_are_found_after_balancers_restarted() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    restart_balancers(&mut fleet, &weighted(3, 0, 1));
+    expect_found(&mut fleet, &flows);
+}
+
+// The same without a change of the route's services, only of their shares.
+#[gtest]
+fn flows_are_found_after_the_share_of_their_service_fell() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    restart_balancers(&mut fleet, &weighted(3, 1, 100));
+    expect_found(&mut fleet, &flows);
+}
+
+// Registrations must follow their registrars: agents that join take over some of them with an empty memory,
+// and others leave.
+#[gtest]
+fn flows_are_found_after_agents_joined_and_left() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    let last = 100 + SMALL_SERVICE_AGENTS + LARGE_SERVICE_AGENTS;
+    for number in last..last + 10 {
+        fleet.add_agent(number, 1);
+    }
+    for number in last - 10..last {
+        fleet.agent_event(number, AgentEvent::Deregistered(None), None);
+    }
+    fleet.run_for(2_000);
+    restart_balancers(&mut fleet, &weighted(3, 0, 1));
+    expect_found(&mut fleet, &flows);
+}
+
+// A registrar that restarts has lost its registrations; the owners must repeat them.
+#[gtest]
+fn flows_are_found_after_every_registrar_restarted_in_turn() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    let large_service =
+        100 + SMALL_SERVICE_AGENTS..100 + SMALL_SERVICE_AGENTS + LARGE_SERVICE_AGENTS;
+    for batch in large_service.collect::<Vec<_>>().chunks(19) {
+        for number in batch {
+            fleet.restart_agent(*number);
+        }
+        fleet.run_for(1_000);
+    }
+    restart_balancers(&mut fleet, &weighted(3, 0, 1));
+    expect_found(&mut fleet, &flows);
+}
+
+// An agent that restarts knows none of its flows, but its registrars do.
+#[gtest]
+fn flows_are_found_after_their_agents_restarted() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    for number in 100..100 + SMALL_SERVICE_AGENTS {
+        fleet.restart_agent(number);
+    }
+    restart_balancers(&mut fleet, &weighted(3, 0, 1));
+    expect_found(&mut fleet, &flows);
+}
+
+// A search ends at an agent that has died and is not suspected yet. Retransmissions that all took the same
+// way were all lost.
+#[gtest]
+fn retransmissions_get_around_agents_that_have_just_died() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    restart_balancers(&mut fleet, &weighted(3, 0, 1));
+    let large_service =
+        100 + SMALL_SERVICE_AGENTS..100 + SMALL_SERVICE_AGENTS + LARGE_SERVICE_AGENTS;
+    fleet.partitioned.extend(large_service.step_by(6));
+    for (key, agent, number) in flows {
+        let mut outcomes = (0..3).map(|_| fleet.send_on_flow(1, key, number));
+        let is_found = outcomes.any(|outcome| outcome == Outcome::Accepted(agent));
+        expect_that!(is_found, eq(true), "{key}");
+    }
+}
+
+// The packet of a flow that ended must not travel between two agents each of which has a registration of
+// the other.
+#[gtest]
+fn registrations_that_name_each_other_send_no_packet_in_a_loop() {
+    let mut fleet = Fleet::new(1, 8, 1);
+    for caller in 0..20 {
+        let key = flow(caller, 0);
+        for number in 100..108 {
+            let others = (100..108).filter(|other| *other != number);
+            let owner = peer_address(
+                others
+                    .max_by_key(|other| (other ^ caller as u8, *other))
+                    .unwrap(),
+            );
+            let flows = vec![key];
+            fleet.agent_event(number, AgentEvent::FlowsRegistered { owner, flows }, None);
+        }
+        let outcome = fleet.send_on_flow(1, key, 7);
+        expect_that!(outcome, eq(Outcome::Reset(ResultCode::NoEndpoint)));
+        // Each agent once, and the balancer.
+        expect_that!(fleet.hops, le(8 + 8 + 1));
+    }
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -297,6 +297,10 @@
                 let message = PeerMessage::FlowOwner { flow, owner };
                 send_message(&self.peers, to, &message, &[], buffer);
             }
+            AgentAction::RegisterFlows { to, flows } => {
+                let message = PeerMessage::RegisterFlows(flows);
+                send_message(&self.peers, to, &message, &[], buffer);
+            }
             AgentAction::Accepted { after_ms } => {
                 self.metrics.record_accept_time(after_ms);
                 if let Some(segment) = segment {
@@ -400,6 +404,10 @@
                 let start = datagram.len() - packet.len();
                 self.perform_all(actions, &mut datagram[start..], Some(&segment));
             }
+            Ok((PeerMessage::RegisterFlows(flows), _)) => {
+                let event = AgentEvent::FlowsRegistered { owner: from, flows };
+                self.handle(event, &mut [], None);
+            }
             Ok((PeerMessage::Exhausted(_) | PeerMessage::FlowOwner { .. }, _)) => {
                 log::warn!("relay: Message from {from} dropped: it is meant for a balancer.");
             }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -255,7 +255,7 @@
                 log::info!(flow:% = flow, agent:% = owner; "relay: Flow owner cached.");
                 self.metrics.located.increment(1);
                 let mut machine = self.machine();
-                machine.cache_owner(now, flow, owner);
+                machine.record_owner(now, flow, owner);
                 self.metrics
                     .located_flows
                     .set(machine.cached_flows() as f64);
@@ -273,7 +273,7 @@
                     .handle_exhausted_search(now, search, &segment);
                 self.execute(packet, &segment, decision);
             }
-            Ok((PeerMessage::Forward(_), _)) => {
+            Ok((PeerMessage::Forward(_) | PeerMessage::RegisterFlows(_), _)) => {
                 log::warn!("relay: Message from {from} dropped: it is meant for an agent.");
             }
             Err(error) => log::warn!("relay: Malformed message from {from} dropped: {error}."),
