Measure in the soak how long processes wait for a processor

The kernel's account of each process gives the time that it was ready to run without a processor; the soak prints waits of half a second or more when they end, and the longest one in its report.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod process;
 mod record;
+mod scheduling;
 mod soak;
 
 use std::process::ExitCode;
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -97,6 +97,11 @@
         Ok(())
     }
 
+    /// Returns the id of the process, unless it is known to have exited.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns whether the process is running; reaps it if it has exited.
     pub(crate) fn is_running(&mut self) -> bool {
         let Some(child) = &mut self.child else {
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -17,6 +17,7 @@
 use crate::faults::{Fault, PlannedFault, plan_faults};
 use crate::process::Signal;
 use crate::record::RunRecord;
+use crate::scheduling::SchedulingProbe;
 
 /// All balancers must become ready within this time.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -79,6 +80,7 @@
     has_extra_route: bool,
     /// Time of the last copy of the store.
     copied_at: Instant,
+    scheduling: SchedulingProbe,
 }
 
 /// Runs the soak and returns the number of violations.
@@ -117,9 +119,11 @@
         route_changed_at: Instant::now(),
         has_extra_route: false,
         copied_at: Instant::now(),
+        scheduling: SchedulingProbe::default(),
     };
     run.run_faults().await?;
     run.check_recovery(cli).await?;
+    run.scheduling.print_summary(&record);
     let (answered, failed) = record.request_totals();
     let violations = record.violation_count();
     record.print(&format!(
@@ -167,6 +171,7 @@
             .collect();
         while let Some(next) = schedule.peek().copied() {
             self.collect_reports();
+            self.sample_scheduling();
             if self.copied_at.elapsed() >= COPY_INTERVAL {
                 self.copied_at = Instant::now();
                 self.deployment.copy_store();
@@ -193,6 +198,22 @@
         Ok(())
     }
 
+    fn sample_scheduling(&mut self) {
+        let deployment = &self.deployment;
+        let agents = deployment.agents.iter().map(|vm| &vm.process);
+        let processes = deployment.balancers.iter().chain(agents);
+        self.scheduling.sample(&self.record, processes);
+    }
+
+    /// Sleeps, and samples the waits of the processes meanwhile.
+    async fn sleep(&mut self, duration: Duration) {
+        let started_at = Instant::now();
+        while started_at.elapsed() < duration {
+            self.sample_scheduling();
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     fn collect_reports(&self) {
         for agent in &self.deployment.agents {
             agent.report(&self.record);
@@ -458,9 +479,9 @@
             balancer.start()?;
         }
         self.record.print("all faults ended");
-        sleep(RECOVERY_TIME).await;
+        self.sleep(RECOVERY_TIME).await;
         let (answered, failed) = self.record.request_totals();
-        sleep(RECOVERY_WINDOW).await;
+        self.sleep(RECOVERY_WINDOW).await;
         let (answered_after, failed_after) = self.record.request_totals();
         let answered = answered_after - answered;
         let failed = failed_after - failed;
--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -84,10 +84,12 @@
     text
 }
 
-// The guarantees must hold under a fixed series of faults.
+// The guarantees must hold under a fixed series of faults. The report must tell silence of a process from
+// a host that did not run it.
 #[gtest]
 fn guarantees_hold_in_short_run() {
-    expect_no_violation(Run::of_all_faults(7, 8));
+    let text = expect_no_violation(Run::of_all_faults(7, 8));
+    expect_that!(text, contains_substring("longest wait for a processor: "));
 }
 
 // The guarantees must hold while the platform store comes back from copies, among other faults.
