Reset flows of lost agents without a search; announce an accepted flow to one balancer

Cause: each packet of a flow whose agent is lost visited all agents before its balancer reset it, and each flow that an agent did not get first was announced to all balancers of a failure domain (12 here). Both grow with the fleet.

Change: a registrar returns the packet of a flow whose registered owner it cannot reach; the balancer resets the flow if it cannot reach the owner either, and reaches most agents. Accepted flows are announced to their own balancer only: others find them through the registrars.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -14,7 +14,6 @@
 use crate::message::Search;
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
-use crate::placement::DomainTag;
 use crate::record::{FlowRecord, PreviousRecord, record_interval_ms};
 use crate::registrar::{OwnRegistrations, Registrar, RegistrationMessage};
 use crate::requests::{HeldPacket, RequestChange, Requests};
@@ -136,6 +135,13 @@
         /// Packet that the agent kept; `None` for the packet of the event.
         packet: Option<Vec<u8>>,
     },
+    /// Returns the packet to its balancer: the registered owner of its flow has left or is unreachable.
+    ReturnOwnerLost {
+        search: Search,
+        owner: SocketAddr,
+        /// Packet that the agent kept; `None` for the packet of the event.
+        packet: Option<Vec<u8>>,
+    },
     /// Announces to the balancer `to` that this agent owns `flow`.
     AnnounceOwner {
         to: SocketAddr,
@@ -221,6 +227,11 @@
         self.flows.len()
     }
 
+    /// Returns the number of flows that other agents registered with this one.
+    pub fn registered_flows(&self) -> usize {
+        self.registrar.len()
+    }
+
     /// Returns the flow record to write to the platform store, or `None` if there is none to write:
     /// the record of the previous incarnation is still needed and must not be overwritten, the
     /// upstream has not reported its incarnation yet, or the agent has left.
@@ -319,8 +330,8 @@
         }
         // Another agent sent the packet here because this one registered its flow.
         let is_expected = search.visited.contains(&self.local_address());
-        if !is_expected && let Some(owner) = self.registered_owner(now, &search, segment) {
-            out.push(forward_to_owner(owner, search, None));
+        if !is_expected && let Some(owner) = self.registered_owner(&search, segment) {
+            out.push(self.forward_to_owner(now, owner, search, None));
             return;
         }
         if self.flows.contains(&segment.flow) {
@@ -516,8 +527,7 @@
         }
     }
 
-    /// Announces an accepted flow to the balancers in the failure domain whose balancer received
-    /// the opening packet, unless they would try this agent first anyway.
+    /// Announces an accepted flow to its balancer, unless that would try this agent first anyway.
     fn handle_accepted(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
         let Some((delivered_at, pending)) = self.pending.pending_opening(&flow) else {
             return;
@@ -538,14 +548,10 @@
         if is_first && is_direct && !pending.search.is_fallback_service {
             return;
         }
-        for balancer in view.reachable_balancers(now) {
-            if DomainTag::of(&balancer.failure_domain) == preferred_domain {
-                out.push(AgentAction::AnnounceOwner {
-                    to: balancer.address,
-                    flow,
-                });
-            }
-        }
+        out.push(AgentAction::AnnounceOwner {
+            to: pending.search.balancer,
+            flow,
+        });
     }
 
     /// Registers a flow whose caller completed the handshake, unless it is registered already.
@@ -569,24 +575,41 @@
         out.extend(messages.into_iter().map(register_action));
     }
 
-    /// Returns the other agent that registered the flow of a packet, unless the packet has visited it or
-    /// it is gone.
-    fn registered_owner(
-        &self,
-        now: TimeMs,
-        search: &Search,
-        segment: &Segment,
-    ) -> Option<SocketAddr> {
+    /// Returns the other agent that registered the flow of a packet, unless the packet has visited it.
+    fn registered_owner(&self, search: &Search, segment: &Segment) -> Option<SocketAddr> {
         if segment.is_opening() || self.flows.contains(&segment.flow) {
             return None;
         }
         let owner = self.registrar.owner(&segment.flow)?;
-        let is_possible = owner != self.local_address()
-            && !search.visited.contains(&owner)
-            && self.gossip.view().may_own_flows(now, owner);
+        let is_possible = owner != self.local_address() && !search.visited.contains(&owner);
         is_possible.then_some(owner)
     }
 
+    /// Forwards a packet to the agent that registered its flow. That agent counts as visited from then on,
+    /// so that registrations of two agents that name each other cannot send the packet back and forth.
+    /// A packet of an agent that is lost returns to its balancer without a search.
+    fn forward_to_owner(
+        &self,
+        now: TimeMs,
+        owner: SocketAddr,
+        mut search: Search,
+        packet: Option<Vec<u8>>,
+    ) -> AgentAction {
+        if self.gossip.view().is_lost(now, owner) {
+            return AgentAction::ReturnOwnerLost {
+                search,
+                owner,
+                packet,
+            };
+        }
+        search.visited.push(owner);
+        AgentAction::ForwardToAgent {
+            to: owner,
+            search,
+            packet,
+        }
+    }
+
     fn local_address(&self) -> SocketAddr {
         self.gossip.local_peer().address
     }
@@ -626,8 +649,8 @@
         if !search.visited.contains(&local_address) {
             search.visited.push(local_address);
         }
-        if let Some(owner) = self.registered_owner(now, &search, segment) {
-            out.push(forward_to_owner(owner, search, packet));
+        if let Some(owner) = self.registered_owner(&search, segment) {
+            out.push(self.forward_to_owner(now, owner, search, packet));
             return;
         }
         if search.visited.len() > MAX_VISITED {
@@ -800,17 +823,6 @@
     }
 }
 
-/// Forwards a packet to the agent that registered its flow. That agent counts as visited from then on, so
-/// that registrations of two agents that name each other cannot send the packet back and forth.
-fn forward_to_owner(owner: SocketAddr, mut search: Search, packet: Option<Vec<u8>>) -> AgentAction {
-    search.visited.push(owner);
-    AgentAction::ForwardToAgent {
-        to: owner,
-        search,
-        packet,
-    }
-}
-
 fn register_action(message: RegistrationMessage) -> AgentAction {
     AgentAction::RegisterFlows {
         to: message.to,
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -484,6 +484,30 @@
         }
     }
 
+    /// Handles a packet that an agent returned because the registered owner of its flow is lost. The flow is
+    /// reset if this balancer cannot reach the owner either, but reaches most agents: otherwise the fault
+    /// may be in its own network.
+    pub fn handle_owner_lost(
+        &mut self,
+        now: TimeMs,
+        mut search: Search,
+        owner: SocketAddr,
+        segment: &Segment,
+    ) -> BalancerDecision {
+        self.forget_owner(&segment.flow);
+        let view = self.gossip.view();
+        if !view.is_lost(now, owner) {
+            search.visited.push(owner);
+            return BalancerDecision::Forward { to: owner, search };
+        }
+        let reaches_most_agents = view.reachable_agents(now) * 2 > view.agents().count();
+        if segment.kind == SegmentKind::Established && reaches_most_agents {
+            BalancerDecision::Reset(ResultCode::NoEndpoint)
+        } else {
+            BalancerDecision::Drop(ResultCode::NoEndpoint)
+        }
+    }
+
     /// Selects an agent. Each retransmission of an opening packet goes to the next agent, so that an
     /// unresponsive agent costs the caller one retransmission interval.
     fn select_agent(
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -31,7 +31,7 @@
     pub class: RequestClass,
 }
 
-/// Message between processes; `Forward` and `Exhausted` are followed by the packet.
+/// Message between processes; `Forward`, `Exhausted` and `OwnerLost` are followed by the packet.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// Packet of a caller, sent to an agent.
@@ -48,6 +48,13 @@
     Gossip(Gossip),
     /// Registers open flows that the sender, an agent, owns.
     RegisterFlows(Vec<FlowKey>),
+    /// Packet of a caller, returned to its balancer because the registered owner of its flow has left or
+    /// is unreachable.
+    OwnerLost {
+        search: Search,
+        /// Peer address of the owner.
+        owner: SocketAddr,
+    },
 }
 
 /// Reply that the sender of a gossip message requests; a reply also acknowledges the probe.
--- a/crates/opaque/src/registrar.rs
+++ b/crates/opaque/src/registrar.rs
@@ -76,6 +76,10 @@
         Some(self.owners.get(flow)?.owner)
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.owners.len()
+    }
+
     fn expire(&mut self, now: TimeMs) {
         if now.since(self.last_expiry) < EXPIRY_INTERVAL_MS {
             return;
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -375,12 +375,11 @@
         [first, second].map(|ranked| ranked.map(|(_, address)| address))
     }
 
-    /// Returns whether the flow of a packet may be at the agent at `address`. An agent that is not
-    /// known yet may have just joined.
-    pub(crate) fn may_own_flows(&self, now: TimeMs, address: SocketAddr) -> bool {
-        self.index(address)
-            .is_ok_and(|index| self.peers[index].reachable_agent(now).is_some())
-            || self.find(address).is_none()
+    /// Returns whether the agent at `address` has left or is unreachable. One that is not known yet may have
+    /// just joined.
+    pub(crate) fn is_lost(&self, now: TimeMs, address: SocketAddr) -> bool {
+        let index = self.index(address);
+        index.is_ok_and(|index| self.peers[index].reachable_agent(now).is_none())
     }
 
     /// Returns the next agent to which a packet of the flow is sent.
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -138,6 +138,8 @@
 enum Transit {
     Packet(SocketAddr, Search, Segment),
     Returned(SocketAddr, Search, Segment),
+    /// Returned because this owner of the flow is lost.
+    OwnerLost(SocketAddr, Search, Segment),
     Message(SocketAddr, SocketAddr, PeerMessage),
 }
 
@@ -427,6 +429,14 @@
                 let (queue, outcome) = decide(decision, segment);
                 (queue.into(), outcome)
             }
+            Transit::OwnerLost(owner, search, segment) => {
+                let Some(balancer) = self.balancers.get_mut(&number_of(search.balancer)) else {
+                    return (Vec::new(), Some(Outcome::Lost));
+                };
+                let decision = balancer.handle_owner_lost(self.now, search, owner, &segment);
+                let (queue, outcome) = decide(decision, segment);
+                (queue.into(), outcome)
+            }
             Transit::Message(from, to, message) => {
                 self.deliver_message(from, to, message);
                 (Vec::new(), None)
@@ -458,7 +468,8 @@
                     self.agent_event(receiver, event, None);
                 }
             }
-            PeerMessage::Forward(_) | PeerMessage::Exhausted(_) => {}
+            PeerMessage::Forward(_) | PeerMessage::Exhausted(_) | PeerMessage::OwnerLost { .. } => {
+            }
         }
     }
 
@@ -525,6 +536,15 @@
                         transits.push(Transit::Returned(to, search, segment.unwrap()));
                     }
                 }
+                AgentAction::ReturnOwnerLost {
+                    search,
+                    owner,
+                    packet,
+                } => {
+                    if packet.is_none() {
+                        transits.push(Transit::OwnerLost(owner, search, segment.unwrap()));
+                    }
+                }
                 AgentAction::AnnounceOwner { to, flow } => {
                     let message = PeerMessage::FlowOwner {
                         flow,
--- a/crates/opaque/tests/large_fleet.rs
+++ b/crates/opaque/tests/large_fleet.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
-use common::{Fleet, IDLE_MS, Outcome, flow, peer_address, service, service_address};
+use common::{Fleet, IDLE_MS, Outcome, established, flow, peer_address, service, service_address};
 use googletest::prelude::*;
-use hawthorntide_opaque::{AgentEvent, Backend, Configuration, RequestClass, Route};
+use hawthorntide_opaque::{
+    AgentEvent, Backend, BalancerDecision, Configuration, DomainTag, RequestClass, Route, Search,
+};
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{ConfigurationVersion, ResultCode};
 
@@ -170,3 +172,48 @@
         expect_that!(fleet.hops, le(8 + 8 + 1));
     }
 }
+
+// A search of the whole fleet for each packet of the flows of a lost VM would load every agent, and its
+// callers would wait longer for the reset.
+#[gtest]
+fn flows_of_a_lost_agent_are_reset_without_a_search() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    let lost = flows[0].1;
+    fleet.partitioned.insert(lost);
+    fleet.run_for(6_000);
+    restart_balancers(&mut fleet, &weighted(3, 0, 1));
+    // The restarted balancers know the lost agent from the directory only.
+    fleet.run_for(2_000);
+    for (key, _, number) in flows.iter().filter(|(_, agent, _)| *agent == lost) {
+        let outcome = fleet.send_on_flow(1, *key, *number);
+        expect_that!(outcome, eq(Outcome::Reset(ResultCode::NoEndpoint)), "{key}");
+        expect_that!(fleet.hops, le(MAX_HOPS), "{key}");
+    }
+    // A flow that nobody registered is searched for.
+    let outcome = fleet.send_on_flow(1, flow(9_000, 0), 7);
+    expect_that!(outcome, eq(Outcome::Reset(ResultCode::NoEndpoint)));
+    expect_that!(fleet.hops, gt(100));
+}
+
+// A registrar that cannot reach the owner must not end a flow that the balancer can still deliver.
+#[gtest]
+fn a_flow_is_not_reset_while_its_balancer_reaches_the_owner() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    let (key, agent, number) = flows[0];
+    let search = Search {
+        balancer: peer_address(1),
+        preferred_domain: DomainTag(0),
+        service: service(1),
+        is_fallback_service: false,
+        visited: Vec::new(),
+        class: RequestClass::default(),
+    };
+    let owner = peer_address(agent);
+    let now = fleet.now;
+    let balancer = fleet.balancers.get_mut(&1).unwrap();
+    let decision = balancer.handle_owner_lost(now, search, owner, &established(key, number));
+    expect_that!(
+        matches!(decision, BalancerDecision::Forward { to, .. } if to == owner),
+        eq(true)
+    );
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -292,6 +292,18 @@
                 let message = PeerMessage::Exhausted(search);
                 send_message(&self.peers, to, &message, packet, buffer);
             }
+            AgentAction::ReturnOwnerLost {
+                search,
+                owner,
+                packet: mut pending_packet,
+            } => {
+                let to = search.balancer;
+                log_forwarded(segment, &search.visited, to);
+                let packet = pending_packet.as_deref_mut().unwrap_or(packet);
+                set_request_class(packet, search.class);
+                let message = PeerMessage::OwnerLost { search, owner };
+                send_message(&self.peers, to, &message, packet, buffer);
+            }
             AgentAction::AnnounceOwner { to, flow } => {
                 let owner = self.local_address;
                 let message = PeerMessage::FlowOwner { flow, owner };
@@ -408,7 +420,12 @@
                 let event = AgentEvent::FlowsRegistered { owner: from, flows };
                 self.handle(event, &mut [], None);
             }
-            Ok((PeerMessage::Exhausted(_) | PeerMessage::FlowOwner { .. }, _)) => {
+            Ok((
+                PeerMessage::Exhausted(_)
+                | PeerMessage::OwnerLost { .. }
+                | PeerMessage::FlowOwner { .. },
+                _,
+            )) => {
                 log::warn!("relay: Message from {from} dropped: it is meant for a balancer.");
             }
             Err(error) => log::warn!("relay: Malformed message from {from} dropped: {error}."),
@@ -422,6 +439,8 @@
             self.handle(AgentEvent::Measure, &mut [], None);
             let held_flows = self.machine().held_flows();
             self.metrics.held_flows.set(held_flows as f64);
+            let registered_flows = self.machine().registered_flows();
+            self.metrics.registered_flows.set(registered_flows as f64);
             let waiting = self.machine().waiting_requests();
             self.metrics.waiting_requests.set(waiting as f64);
             self.handle(AgentEvent::Gossip(GossipEvent::Round), &mut [], None);
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -8,7 +8,7 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     BalancerDecision, BalancerMachine, BalancerStatus, Configuration, GOSSIP_INTERVAL_MS,
-    GossipEvent, Peer, PeerMessage, PeerRole, Segment, decode,
+    GossipEvent, Peer, PeerMessage, PeerRole, Search, Segment, decode,
 };
 use hawthorntide_platform::{
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
@@ -260,18 +260,27 @@
                     .located_flows
                     .set(machine.cached_flows() as f64);
             }
-            Ok((PeerMessage::Exhausted(mut search), packet)) => {
-                let Ok(segment) = parse_caller_packet(packet) else {
-                    log::warn!("relay: Malformed packet returned by {from} dropped.");
-                    return;
-                };
+            Ok((PeerMessage::Exhausted(search), packet)) => {
                 let start = datagram.len() - packet.len();
-                let packet = &mut datagram[start..];
-                search.class = request_class(packet);
-                let decision = self
-                    .machine()
-                    .handle_exhausted_search(now, search, &segment);
-                self.execute(packet, &segment, decision);
+                self.handle_returned(
+                    &mut datagram[start..],
+                    from,
+                    search,
+                    |machine, search, segment| {
+                        machine.handle_exhausted_search(now, search, segment)
+                    },
+                );
+            }
+            Ok((PeerMessage::OwnerLost { search, owner }, packet)) => {
+                let start = datagram.len() - packet.len();
+                self.handle_returned(
+                    &mut datagram[start..],
+                    from,
+                    search,
+                    |machine, search, segment| {
+                        machine.handle_owner_lost(now, search, owner, segment)
+                    },
+                );
             }
             Ok((PeerMessage::Forward(_) | PeerMessage::RegisterFlows(_), _)) => {
                 log::warn!("relay: Message from {from} dropped: it is meant for an agent.");
@@ -280,6 +289,23 @@
         }
     }
 
+    /// Executes what `decide` decides on a packet that an agent returned.
+    fn handle_returned(
+        &self,
+        packet: &mut [u8],
+        from: SocketAddr,
+        mut search: Search,
+        decide: impl FnOnce(&mut BalancerMachine, Search, &Segment) -> BalancerDecision,
+    ) {
+        let Ok(segment) = parse_caller_packet(packet) else {
+            log::warn!("relay: Malformed packet returned by {from} dropped.");
+            return;
+        };
+        search.class = request_class(packet);
+        let decision = decide(&mut self.machine(), search, &segment);
+        self.execute(packet, &segment, decision);
+    }
+
     async fn run_gossip(self: Arc<Self>) {
         let mut rounds = interval(GOSSIP_INTERVAL_MS.into());
         loop {
