--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -14,6 +14,7 @@
 use crate::message::Search;
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
+use crate::placement::DomainTag;
 use crate::record::{FlowRecord, PreviousRecord, record_interval_ms};
 use crate::registrar::{OwnRegistrations, Registrar, RegistrationMessage};
 use crate::requests::{HeldPacket, RequestChange, Requests};
@@ -527,7 +528,8 @@
         }
     }
 
-    /// Announces an accepted flow to its balancer, unless that would try this agent first anyway.
+    /// Announces an accepted flow to the balancers in the failure domain whose balancer received
+    /// the opening packet, unless they would try this agent first anyway.
     fn handle_accepted(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
         let Some((delivered_at, pending)) = self.pending.pending_opening(&flow) else {
             return;
@@ -548,10 +550,14 @@
         if is_first && is_direct && !pending.search.is_fallback_service {
             return;
         }
-        out.push(AgentAction::AnnounceOwner {
-            to: pending.search.balancer,
-            flow,
-        });
+        for balancer in view.reachable_balancers(now) {
+            if DomainTag::of(&balancer.failure_domain) == preferred_domain {
+                out.push(AgentAction::AnnounceOwner {
+                    to: balancer.address,
+                    flow,
+                });
+            }
+        }
     }
 
     /// Registers a flow whose caller completed the handshake, unless it is registered already.
