Query all agents at once for the owner of a flow that no registrar knows

Each hop carries the list of agents visited, so a search costs 80 KB and more.

Change: a balancer sends such a packet to all agents at once; they answer whether their upstream has the flow. A repeated query goes only to those that have not answered. First retransmissions begin at the second registrar, later ones are queries, so that agents that have just died end no series of copies. The limit on visited agents is gone.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -37,10 +37,6 @@
 /// that, an agent accepts the flow although its request has to wait.
 const MAX_BUSY_HANDOFFS: usize = 2;
 
-/// Agents that a packet may visit before it is dropped. The list of them has eight kilobytes then, half
-/// of the size limit of messages.
-const MAX_VISITED: usize = 1_024;
-
 #[derive(Clone, Debug)]
 pub struct AgentOptions {
     /// Record of the local process at its start.
@@ -143,6 +139,11 @@
         /// Packet that the agent kept; `None` for the packet of the event.
         packet: Option<Vec<u8>>,
     },
+    /// Answers the query of the balancer `to`: the upstream does not own `flow`.
+    AnswerNotOwned {
+        to: SocketAddr,
+        flow: FlowKey,
+    },
     /// Announces to the balancer `to` that this agent owns `flow`.
     AnnounceOwner {
         to: SocketAddr,
@@ -330,7 +331,7 @@
             return;
         }
         // Another agent sent the packet here because this one registered its flow.
-        let is_expected = search.visited.contains(&self.local_address());
+        let is_expected = search.is_parallel || search.visited.contains(&self.local_address());
         if !is_expected && let Some(owner) = self.registered_owner(&search, segment) {
             out.push(self.forward_to_owner(now, owner, search, None));
             return;
@@ -365,7 +366,8 @@
         packet: &[u8],
         out: &mut Vec<AgentAction>,
     ) {
-        if !search.visited.is_empty() && !segment.is_opening() {
+        let is_searched = search.is_parallel || !search.visited.is_empty();
+        if is_searched && !segment.is_opening() {
             out.push(AgentAction::AnnounceOwner {
                 to: search.balancer,
                 flow: segment.flow,
@@ -642,7 +644,7 @@
     }
 
     /// Forwards a packet to the agent that registered its flow, otherwise to the next one, or returns it
-    /// to its balancer if none is left.
+    /// to its balancer if none is left. Answers a query.
     fn forward_to_next(
         &mut self,
         now: TimeMs,
@@ -651,6 +653,13 @@
         packet: Option<Vec<u8>>,
         out: &mut Vec<AgentAction>,
     ) {
+        if search.is_parallel {
+            out.push(AgentAction::AnswerNotOwned {
+                to: search.balancer,
+                flow: segment.flow,
+            });
+            return;
+        }
         let local_address = self.local_address();
         if !search.visited.contains(&local_address) {
             search.visited.push(local_address);
@@ -659,10 +668,6 @@
             out.push(self.forward_to_owner(now, owner, search, packet));
             return;
         }
-        if search.visited.len() > MAX_VISITED {
-            out.push(AgentAction::Drop(ResultCode::HopLimit));
-            return;
-        }
         let next = self
             .gossip
             .view()
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -13,7 +13,6 @@
 use crate::message::Search;
 use crate::peer::{BalancerStatus, Peer, PeerRole};
 use crate::placement::DomainTag;
-use crate::registrar::REGISTRARS;
 use crate::route::{Configuration, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::view::AgentQuery;
@@ -37,6 +36,12 @@
 /// Limit on the flows in the cache.
 const MAX_CACHED_FLOWS: usize = 100_000;
 
+/// A query of all agents begins anew after this time: some of them may have restarted.
+const QUERY_TTL_MS: DurationMs = DurationMs(2_000);
+
+/// Limit on the flows whose owner is being queried.
+const MAX_QUERIES: usize = 10_000;
+
 /// Time between two scans of the cache for expired entries.
 const EXPIRY_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
@@ -55,6 +60,11 @@
         to: SocketAddr,
         search: Search,
     },
+    /// Sends the packet to several agents at once, to find the owner of its flow.
+    Query {
+        to: Vec<SocketAddr>,
+        search: Search,
+    },
     /// Sends the caller a reset.
     Reset(ResultCode),
     Drop(ResultCode),
@@ -82,7 +92,7 @@
     /// Sequence number of the latest packet with data.
     last_sequence: Option<u32>,
     /// Transmissions of that packet after the first one.
-    retransmissions: usize,
+    retransmissions: u32,
 }
 
 impl CachedFlow {
@@ -110,6 +120,29 @@
     }
 }
 
+/// Query of all agents for the owner of a flow.
+#[derive(Clone, Debug)]
+struct OwnerQuery {
+    started_at: TimeMs,
+    unanswered: Vec<SocketAddr>,
+    /// Agents that do not own the flow.
+    answered: usize,
+    /// Sequence number that the caller acknowledges next; `None` if it does not wait for an answer.
+    acknowledged: Option<u32>,
+}
+
+/// Result of a query that no agent answered as the owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueryResult {
+    /// No agent owns the flow; its caller gets a reset.
+    Ended {
+        /// Sequence number that the caller acknowledges next.
+        acknowledged: u32,
+    },
+    /// An agent that is not known or not reachable may own the flow, or its caller needs no reset.
+    Unknown,
+}
+
 /// State machine of a balancer.
 #[derive(Clone, Debug)]
 pub struct BalancerMachine {
@@ -128,6 +161,7 @@
     /// Until then, the first listing of the directory may lack agents.
     directory_incomplete_until: TimeMs,
     cached_flows: HashMap<FlowKey, CachedFlow>,
+    queries: HashMap<FlowKey, OwnerQuery>,
     last_expiry: TimeMs,
 }
 
@@ -144,6 +178,7 @@
             is_directory_read: false,
             directory_incomplete_until: TimeMs::default(),
             cached_flows: HashMap::new(),
+            queries: HashMap::new(),
             last_expiry: TimeMs::default(),
         }
     }
@@ -345,6 +380,7 @@
     /// Records that the agent `owner` announced that it owns a flow.
     pub fn record_owner(&mut self, now: TimeMs, flow: FlowKey, owner: SocketAddr) {
         self.expire(now);
+        self.queries.remove(&flow);
         if let Some(cached) = self.cache_flow(now, flow) {
             cached.owner = Some(owner);
             cached.is_announced = true;
@@ -394,20 +430,20 @@
             service: service.clone(),
             is_fallback_service: Some(service) != selected_service,
             visited: Vec::new(),
+            is_parallel: false,
             class: route.class,
         };
-        let to = match segment.kind {
+        match segment.kind {
             SegmentKind::Opening { attempt } => {
-                self.select_for_opening(now, segment, &search, attempt)
+                match self.select_for_opening(now, segment, &search, attempt) {
+                    Some(to) => BalancerDecision::Forward { to, search },
+                    None => self.handle_no_agent_left(now, &search, segment),
+                }
             }
             SegmentKind::Reset | SegmentKind::Established => {
-                self.select_for_established(now, segment, &search)
+                self.place_established(now, segment, search)
             }
-            SegmentKind::Accepting => return BalancerDecision::Drop(ResultCode::PacketMalformed),
-        };
-        match to {
-            Some(to) => BalancerDecision::Forward { to, search },
-            None => self.handle_no_agent_left(now, &search, segment),
+            SegmentKind::Accepting => BalancerDecision::Drop(ResultCode::PacketMalformed),
         }
     }
 
@@ -435,42 +471,43 @@
         Some(to)
     }
 
-    /// Selects the agent for a packet of an established flow: the owner if it announced itself. Otherwise
-    /// the search begins at another agent for each retransmission, so that one that has just died does
-    /// not end all of them.
-    fn select_for_established(
+    /// Places a packet of an established flow: at the owner if it announced itself. Otherwise a search
+    /// begins at the likely owner, for a first retransmission at a registrar, and for later ones at all
+    /// agents at once, since an agent that has just died ends a search that reaches it.
+    fn place_established(
         &mut self,
         now: TimeMs,
         segment: &Segment,
-        search: &Search,
-    ) -> Option<SocketAddr> {
-        if let Some(cached) = self.cache_flow(now, segment.flow) {
+        search: Search,
+    ) -> BalancerDecision {
+        let flow = &segment.flow;
+        let mut retransmissions = 0;
+        if let Some(cached) = self.cache_flow(now, *flow) {
             cached.record_packet(now, segment);
+            retransmissions = cached.retransmissions;
         }
         let cached = self.cached_owner(now, segment);
-        if let Some(cached) = cached
-            && cached.is_announced
-        {
-            return cached.owner;
-        }
-        let likely_owner = cached
-            .and_then(|cached| cached.owner)
-            .or_else(|| self.next_agent(now, segment, search));
-        let retransmissions = self
-            .cached_flows
-            .get(&segment.flow)
-            .map_or(0, |cached| cached.retransmissions);
-        let view = self.gossip.view();
-        let start = match retransmissions % (1 + REGISTRARS) {
-            0 => None,
-            // The search that begins at the likely owner reaches the first registrar next, so the last one
-            // is the best start for the first retransmission.
-            nth => view.registrars(now, &segment.flow)[REGISTRARS - nth],
+        let owner = cached.and_then(|cached| cached.owner);
+        let is_announced = cached.is_some_and(|cached| cached.is_announced);
+        let likely_owner = owner.or_else(|| self.next_agent(now, segment, &search));
+        let start = match retransmissions {
+            _ if is_announced => owner,
+            0 => likely_owner,
+            1 => {
+                // The search that began at the likely owner reached the first registrar next.
+                let [_, second] = self.gossip.view().registrars(now, flow);
+                second.or(likely_owner)
+            }
+            _ => None,
         };
-        start.or(likely_owner)
+        match start {
+            Some(to) => BalancerDecision::Forward { to, search },
+            None => self.query_agents(now, search, segment),
+        }
     }
 
-    /// Continues the search for a packet that an agent returned because it knew no further agent.
+    /// Continues the search for a packet that an agent returned because it knew no further agent: queries
+    /// all agents at once for the owner of an established flow.
     pub fn handle_exhausted_search(
         &mut self,
         now: TimeMs,
@@ -478,12 +515,99 @@
         segment: &Segment,
     ) -> BalancerDecision {
         self.forget_owner(&segment.flow);
+        if !segment.is_opening() {
+            return self.query_agents(now, search, segment);
+        }
         match self.next_agent(now, segment, &search) {
             Some(to) => BalancerDecision::Forward { to, search },
             None => self.handle_no_agent_left(now, &search, segment),
         }
     }
 
+    /// Queries the agents that a packet has not visited. A retransmission repeats the query at those that
+    /// have not answered.
+    fn query_agents(
+        &mut self,
+        now: TimeMs,
+        mut search: Search,
+        segment: &Segment,
+    ) -> BalancerDecision {
+        let agents = self.gossip.view().reachable_agent_addresses(now);
+        let flow = segment.flow;
+        let is_running = |query: &OwnerQuery| now.since(query.started_at) <= QUERY_TTL_MS;
+        if !self.queries.get(&flow).is_some_and(is_running) {
+            if self.queries.len() >= MAX_QUERIES {
+                return BalancerDecision::Drop(ResultCode::NoEndpoint);
+            }
+            let unvisited = agents
+                .iter()
+                .filter(|agent| !search.visited.contains(agent));
+            let query = OwnerQuery {
+                started_at: now,
+                unanswered: unvisited.copied().collect(),
+                answered: search.visited.len(),
+                acknowledged: None,
+            };
+            self.queries.insert(flow, query);
+        }
+        let Some(query) = self.queries.get_mut(&flow) else {
+            return BalancerDecision::Drop(ResultCode::NoEndpoint);
+        };
+        if segment.kind == SegmentKind::Established {
+            query.acknowledged = Some(segment.acknowledged);
+        }
+        query
+            .unanswered
+            .retain(|agent| agents.binary_search(agent).is_ok());
+        if query.unanswered.is_empty() {
+            return match self.end_query(now, flow) {
+                QueryResult::Ended { .. } => BalancerDecision::Reset(ResultCode::NoEndpoint),
+                QueryResult::Unknown => BalancerDecision::Drop(ResultCode::NoEndpoint),
+            };
+        }
+        search.is_parallel = true;
+        BalancerDecision::Query {
+            to: query.unanswered.clone(),
+            search,
+        }
+    }
+
+    /// Handles the answer of an agent that does not own `flow`. Returns the result once all agents answered.
+    pub fn handle_not_owned(
+        &mut self,
+        now: TimeMs,
+        agent: SocketAddr,
+        flow: FlowKey,
+    ) -> Option<QueryResult> {
+        let query = self.queries.get_mut(&flow)?;
+        let index = query.unanswered.iter().position(|it| *it == agent)?;
+        query.unanswered.swap_remove(index);
+        query.answered += 1;
+        let view = self.gossip.view();
+        let may_own = |agent: &SocketAddr| !view.is_lost(now, *agent);
+        if query.unanswered.iter().any(may_own) {
+            return None;
+        }
+        Some(self.end_query(now, flow))
+    }
+
+    /// Ends a query that all reachable agents answered. The flow is to be reset only if every agent that
+    /// may own it answered or is unreachable; the directory names them all, since agents accept no new
+    /// flows before they are registered, unless the platform store has lost entries. If at most half of
+    /// the agents answered, the fault may be in the balancer's network.
+    fn end_query(&mut self, now: TimeMs, flow: FlowKey) -> QueryResult {
+        let Some(query) = self.queries.remove(&flow) else {
+            return QueryResult::Unknown;
+        };
+        let may_reset = self.is_directory_read
+            && now >= self.directory_incomplete_until
+            && query.answered * 2 > self.gossip.view().agents().count();
+        match query.acknowledged {
+            Some(acknowledged) if may_reset => QueryResult::Ended { acknowledged },
+            _ => QueryResult::Unknown,
+        }
+    }
+
     /// Handles a packet that an agent returned because the registered owner of its flow is lost. The flow is
     /// reset if this balancer cannot reach the owner either, but reaches most agents: otherwise the fault
     /// may be in its own network.
@@ -574,14 +698,8 @@
         BalancerDecision::Drop(ResultCode::NotFound)
     }
 
-    /// Handles a packet for which no agent is left to try.
-    ///
-    /// A new flow is refused, unless an agent that the packet has not visited may recover before the
-    /// caller retransmits. An established flow is reset only if every agent that may own it was
-    /// visited or is unreachable; the directory names them all, since agents accept no new flows
-    /// before they are registered, unless the platform store has lost entries. If the packet visited
-    /// at most half of the agents, the fault may be in the balancer's network, so the packet is
-    /// dropped.
+    /// Handles a packet for which no agent is left to try. A new flow is refused, unless an agent that the
+    /// packet has not visited may recover before the caller retransmits.
     fn handle_no_agent_left(
         &self,
         now: TimeMs,
@@ -589,15 +707,8 @@
         segment: &Segment,
     ) -> BalancerDecision {
         let view = self.gossip.view();
-        let may_reset = match segment.kind {
-            SegmentKind::Opening { .. } => !view.may_recover(now, &search.service, &search.visited),
-            SegmentKind::Established => {
-                now >= self.directory_incomplete_until
-                    && search.visited.len() * 2 > view.agents().count()
-            }
-            SegmentKind::Accepting | SegmentKind::Reset => false,
-        };
-        if self.is_directory_read && may_reset {
+        let may_recover = view.may_recover(now, &search.service, &search.visited);
+        if self.is_directory_read && segment.is_opening() && !may_recover {
             BalancerDecision::Reset(ResultCode::NoEndpoint)
         } else {
             BalancerDecision::Drop(ResultCode::NoEndpoint)
@@ -609,6 +720,8 @@
             return;
         }
         self.last_expiry = now;
+        self.queries
+            .retain(|_, query| now.since(query.started_at) <= QUERY_TTL_MS);
         let idle_ms = self
             .routes
             .configuration()
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -26,12 +26,16 @@
     pub is_fallback_service: bool,
     /// Agents that the packet has visited and that did not accept it.
     pub visited: Vec<SocketAddr>,
+    /// Whether the packet is sent to all agents at once: one that does not own the flow answers, instead of
+    /// forwarding it. Not part of the encoded message: `Query` implies it.
+    #[serde(skip)]
+    pub is_parallel: bool,
     /// Class of the route. Not part of the encoded message: it travels in the header of the packet.
     #[serde(skip)]
     pub class: RequestClass,
 }
 
-/// Message between processes; `Forward`, `Exhausted` and `OwnerLost` are followed by the packet.
+/// Message between processes; `Forward`, `Exhausted`, `OwnerLost` and `Query` are followed by the packet.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// Packet of a caller, sent to an agent.
@@ -55,6 +59,10 @@
         /// Peer address of the owner.
         owner: SocketAddr,
     },
+    /// Packet of a caller, sent to all agents at once because nobody knows the owner of its flow.
+    Query(Search),
+    /// Answers `Query`: the sender does not own the flow.
+    NotOwned { flow: FlowKey },
 }
 
 /// Reply that the sender of a gossip message requests; a reply also acknowledges the probe.
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -356,6 +356,12 @@
             .collect()
     }
 
+    /// Returns the reachable agents.
+    pub(crate) fn reachable_agent_addresses(&self, now: TimeMs) -> Vec<SocketAddr> {
+        let agents = self.agent_incarnations(now).into_iter();
+        agents.map(|(address, _)| address).collect()
+    }
+
     /// Returns the registrars of a flow: the reachable agents that rank first for it.
     pub(crate) fn registrars(&self, now: TimeMs, flow: &FlowKey) -> Registrars {
         let mut first = None;
@@ -387,7 +393,7 @@
     /// New flows go only to serving agents of the service. Loaded agents take a reduced share of
     /// them, unless all are loaded. An established flow may be owned by any reachable agent, since
     /// the services of a route change; the most likely owner comes first, then the registrars of the
-    /// flow, then the others. Suspected agents come last, because a search ends at one that has died.
+    /// flow. Suspected agents come last, because a search ends at one that has died.
     pub(crate) fn next_agent(&self, now: TimeMs, query: AgentQuery<'_>) -> Option<SocketAddr> {
         let mut best = None;
         let registrars = if query.is_opening || query.visited.is_empty() {
@@ -422,9 +428,10 @@
                 )
             } else {
                 let is_registrar = registrars.contains(&Some(entry.peer.address));
-                let affinity = 4 * u64::from(is_registrar)
-                    + 2 * u64::from(is_of_service)
-                    + u64::from(is_preferred_domain);
+                if !query.visited.is_empty() && (!is_registrar || entry.is_doubtful(now)) {
+                    continue;
+                }
+                let affinity = 2 * u64::from(is_of_service) + u64::from(is_preferred_domain);
                 (!entry.is_doubtful(now), affinity, rank)
             };
             if best.is_none_or(|(best, _)| priority > best) {
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, Backend, BalancerDecision,
     BalancerMachine, BalancerStatus, Configuration, GossipAction, GossipEvent, Peer, PeerMessage,
-    PeerRole, RequestClass, Route, Search, Segment, SegmentKind, UpstreamReport,
+    PeerRole, QueryResult, RequestClass, Route, Search, Segment, SegmentKind, UpstreamReport,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
@@ -140,6 +140,8 @@
     Returned(SocketAddr, Search, Segment),
     /// Returned because this owner of the flow is lost.
     OwnerLost(SocketAddr, Search, Segment),
+    /// Answer of an agent to a balancer that queried it.
+    NotOwned(SocketAddr, SocketAddr, FlowKey),
     Message(SocketAddr, SocketAddr, PeerMessage),
 }
 
@@ -394,7 +396,11 @@
             assert!(self.hops < 1_000, "packet forwarded in a loop: {segment:?}");
             let (more, reached) = self.deliver_one(transit);
             queue.extend(more);
-            outcome = reached.or(outcome);
+            // Copies of a packet that agents are queried with may be lost.
+            let is_taken = matches!(outcome, Some(Outcome::Accepted(_) | Outcome::Held(_)));
+            if !is_taken {
+                outcome = reached.or(outcome);
+            }
         }
         outcome.unwrap_or(Outcome::Lost)
     }
@@ -437,6 +443,15 @@
                 let (queue, outcome) = decide(decision, segment);
                 (queue.into(), outcome)
             }
+            Transit::NotOwned(agent, to, flow) => {
+                let balancer = self.balancers.get_mut(&number_of(to));
+                let result = balancer.and_then(|it| it.handle_not_owned(self.now, agent, flow));
+                let outcome = result.map(|result| match result {
+                    QueryResult::Ended { .. } => Outcome::Reset(ResultCode::NoEndpoint),
+                    QueryResult::Unknown => Outcome::Dropped(ResultCode::NoEndpoint),
+                });
+                (Vec::new(), outcome)
+            }
             Transit::Message(from, to, message) => {
                 self.deliver_message(from, to, message);
                 (Vec::new(), None)
@@ -468,8 +483,11 @@
                     self.agent_event(receiver, event, None);
                 }
             }
-            PeerMessage::Forward(_) | PeerMessage::Exhausted(_) | PeerMessage::OwnerLost { .. } => {
-            }
+            PeerMessage::Forward(_)
+            | PeerMessage::Exhausted(_)
+            | PeerMessage::OwnerLost { .. }
+            | PeerMessage::Query(_)
+            | PeerMessage::NotOwned { .. } => {}
         }
     }
 
@@ -545,6 +563,9 @@
                         transits.push(Transit::OwnerLost(owner, search, segment.unwrap()));
                     }
                 }
+                AgentAction::AnswerNotOwned { to, flow } => {
+                    transits.push(Transit::NotOwned(local_address, to, flow));
+                }
                 AgentAction::AnnounceOwner { to, flow } => {
                     let message = PeerMessage::FlowOwner {
                         flow,
@@ -651,6 +672,11 @@
         BalancerDecision::Forward { to, search } => {
             ([Transit::Packet(to, search, segment)].into(), None)
         }
+        BalancerDecision::Query { to, search } => {
+            let copies = to.into_iter();
+            let copies = copies.map(|to| Transit::Packet(to, search.clone(), segment));
+            (copies.collect(), None)
+        }
         BalancerDecision::Reset(code) => (VecDeque::new(), Some(Outcome::Reset(code))),
         BalancerDecision::Drop(code) => (VecDeque::new(), Some(Outcome::Dropped(code))),
     }
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -337,6 +337,7 @@
         service: common::service(0),
         is_fallback_service: false,
         visited: Vec::new(),
+        is_parallel: false,
         class: hawthorntide_opaque::RequestClass::default(),
     };
     let event = AgentEvent::Forwarded {
--- a/crates/opaque/tests/large_fleet.rs
+++ b/crates/opaque/tests/large_fleet.rs
@@ -206,6 +206,7 @@
         service: service(1),
         is_fallback_service: false,
         visited: Vec::new(),
+        is_parallel: false,
         class: RequestClass::default(),
     };
     let owner = peer_address(agent);
@@ -217,3 +218,42 @@
         eq(true)
     );
 }
+
+// After a kill of all processes only the upstreams know their flows. A search from agent to agent ended at
+// the first one that had died, and went through those of the selected service before all others.
+#[gtest]
+fn flows_are_found_after_all_processes_restarted_although_some_agents_died() {
+    let (mut fleet, flows) = fleet_with_flows_of_the_small_service();
+    for number in fleet.agents.keys().copied().collect::<Vec<_>>() {
+        fleet.restart_agent(number);
+    }
+    restart_balancers(&mut fleet, &weighted(3, 0, 1));
+    let large_service =
+        100 + SMALL_SERVICE_AGENTS..100 + SMALL_SERVICE_AGENTS + LARGE_SERVICE_AGENTS;
+    fleet.partitioned.extend(large_service.step_by(6));
+    for (key, agent, number) in flows {
+        let mut outcomes = (0..3).map(|_| fleet.send_on_flow(1, key, number));
+        let is_found = outcomes.any(|outcome| outcome == Outcome::Accepted(agent));
+        expect_that!(is_found, eq(true), "{key}");
+    }
+}
+
+// Each retransmission of a packet would query the whole fleet again.
+#[gtest]
+fn a_retransmission_repeats_the_query_only_at_agents_that_did_not_answer() {
+    let mut fleet = Fleet::with_agents(1, [SMALL_SERVICE_AGENTS, LARGE_SERVICE_AGENTS]);
+    let key = flow(1, 0);
+    let silent = fleet.agents.keys().copied().step_by(9).collect::<Vec<_>>();
+    fleet.partitioned.extend(&silent);
+    let (mut queries, mut repeated) = (0, 0);
+    for _ in 0..6 {
+        fleet.send_on_flow(1, key, 7);
+        // All hops but those of the silent agents are answered.
+        match fleet.hops {
+            100.. => queries += 1,
+            hops => repeated += usize::from(hops >= silent.len() - MAX_HOPS),
+        }
+    }
+    expect_that!(queries, eq(1));
+    expect_that!(repeated, ge(2));
+}
--- a/crates/opaque/tests/requests.rs
+++ b/crates/opaque/tests/requests.rs
@@ -91,6 +91,7 @@
             service: service(0),
             is_fallback_service: false,
             visited: Vec::new(),
+            is_parallel: false,
             class: RequestClass::default(),
         };
         self.handle(AgentEvent::Forwarded {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -7,7 +7,7 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, GOSSIP_INTERVAL_MS,
-    GossipAction, GossipEvent, Peer, PeerMessage, PeerRole, Segment, decode,
+    GossipAction, GossipEvent, Peer, PeerMessage, PeerRole, Search, Segment, decode,
 };
 use hawthorntide_platform::{
     HEADER_BYTES, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, UpstreamPacket,
@@ -272,37 +272,33 @@
             AgentAction::ForwardToAgent {
                 to,
                 search,
-                packet: mut pending_packet,
+                packet: kept,
             } => {
                 self.metrics.forwarded.increment(1);
-                log_forwarded(segment, &search.visited, to);
-                let packet = pending_packet.as_deref_mut().unwrap_or(packet);
-                set_request_class(packet, search.class);
-                let message = PeerMessage::Forward(search);
-                send_message(&self.peers, to, &message, packet, buffer);
+                let packet = (packet, kept);
+                self.send_packet(to, search, PeerMessage::Forward, packet, segment, buffer);
             }
             AgentAction::ReturnToBalancer {
                 search,
-                packet: mut pending_packet,
+                packet: kept,
             } => {
                 let to = search.balancer;
-                log_forwarded(segment, &search.visited, to);
-                let packet = pending_packet.as_deref_mut().unwrap_or(packet);
-                set_request_class(packet, search.class);
-                let message = PeerMessage::Exhausted(search);
-                send_message(&self.peers, to, &message, packet, buffer);
+                let packet = (packet, kept);
+                self.send_packet(to, search, PeerMessage::Exhausted, packet, segment, buffer);
             }
             AgentAction::ReturnOwnerLost {
                 search,
                 owner,
-                packet: mut pending_packet,
+                packet: kept,
             } => {
                 let to = search.balancer;
-                log_forwarded(segment, &search.visited, to);
-                let packet = pending_packet.as_deref_mut().unwrap_or(packet);
-                set_request_class(packet, search.class);
-                let message = PeerMessage::OwnerLost { search, owner };
-                send_message(&self.peers, to, &message, packet, buffer);
+                let message = |search| PeerMessage::OwnerLost { search, owner };
+                let packet = (packet, kept);
+                self.send_packet(to, search, message, packet, segment, buffer);
+            }
+            AgentAction::AnswerNotOwned { to, flow } => {
+                let message = PeerMessage::NotOwned { flow };
+                send_message(&self.peers, to, &message, &[], buffer);
             }
             AgentAction::AnnounceOwner { to, flow } => {
                 let owner = self.local_address;
@@ -340,18 +336,37 @@
                 load:% = status.load;
                 "relay: Status changed."
             ),
-            AgentAction::Gossip(action) => {
-                // A balancer that watches the store shows that the store answers.
-                if let GossipAction::PeerChanged(peer) = &action
-                    && peer.balancer().is_some_and(|status| status.is_watching)
-                {
-                    self.recovery.report();
-                }
-                perform_gossip(&self.peers, vec![action], buffer);
-            }
+            AgentAction::Gossip(action) => self.perform_gossip(action, buffer),
         }
     }
 
+    fn perform_gossip(&self, action: GossipAction, buffer: &mut Vec<u8>) {
+        // A balancer that watches the store shows that the store answers.
+        if let GossipAction::PeerChanged(peer) = &action
+            && peer.balancer().is_some_and(|status| status.is_watching)
+        {
+            self.recovery.report();
+        }
+        perform_gossip(&self.peers, vec![action], buffer);
+    }
+
+    /// Sends a packet of a caller to another process: the one that the agent kept, if there is one,
+    /// otherwise the one of the event.
+    fn send_packet(
+        &self,
+        to: SocketAddr,
+        search: Search,
+        message: impl FnOnce(Search) -> PeerMessage,
+        (packet, mut kept): (&mut [u8], Option<Vec<u8>>),
+        segment: Option<&Segment>,
+        buffer: &mut Vec<u8>,
+    ) {
+        log_forwarded(segment, &search.visited, to);
+        let packet = kept.as_deref_mut().unwrap_or(packet);
+        set_request_class(packet, search.class);
+        send_message(&self.peers, to, &message(search), packet, buffer);
+    }
+
     /// Delivers a packet to the upstream.
     fn deliver(
         &self,
@@ -397,24 +412,14 @@
                 let event = GossipEvent::Message { from, gossip };
                 self.handle(AgentEvent::Gossip(event), &mut [], None);
             }
-            Ok((PeerMessage::Forward(mut search), packet)) => {
-                let segment = match parse_caller_packet(packet) {
-                    Ok(segment) => segment,
-                    Err(error) => {
-                        log::warn!("relay: Malformed packet from {from} dropped: {error}.");
-                        return;
-                    }
-                };
-                search.class = request_class(packet);
-                let mut actions = Vec::new();
-                let event = AgentEvent::Forwarded {
-                    search,
-                    segment,
-                    packet,
-                };
-                self.update_machine(event, &mut actions);
+            Ok((PeerMessage::Forward(search), packet)) => {
+                let start = datagram.len() - packet.len();
+                self.handle_forwarded(&mut datagram[start..], from, search);
+            }
+            Ok((PeerMessage::Query(mut search), packet)) => {
+                search.is_parallel = true;
                 let start = datagram.len() - packet.len();
-                self.perform_all(actions, &mut datagram[start..], Some(&segment));
+                self.handle_forwarded(&mut datagram[start..], from, search);
             }
             Ok((PeerMessage::RegisterFlows(flows), _)) => {
                 let event = AgentEvent::FlowsRegistered { owner: from, flows };
@@ -423,6 +428,7 @@
             Ok((
                 PeerMessage::Exhausted(_)
                 | PeerMessage::OwnerLost { .. }
+                | PeerMessage::NotOwned { .. }
                 | PeerMessage::FlowOwner { .. },
                 _,
             )) => {
@@ -432,6 +438,25 @@
         }
     }
 
+    fn handle_forwarded(&self, packet: &mut [u8], from: SocketAddr, mut search: Search) {
+        let segment = match parse_caller_packet(packet) {
+            Ok(segment) => segment,
+            Err(error) => {
+                log::warn!("relay: Malformed packet from {from} dropped: {error}.");
+                return;
+            }
+        };
+        search.class = request_class(packet);
+        let event = AgentEvent::Forwarded {
+            search,
+            segment,
+            packet,
+        };
+        let mut actions = Vec::new();
+        self.update_machine(event, &mut actions);
+        self.perform_all(actions, packet, Some(&segment));
+    }
+
     async fn run_gossip(self: Arc<Self>) {
         let mut rounds = interval(GOSSIP_INTERVAL_MS.into());
         loop {
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -8,12 +8,13 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     BalancerDecision, BalancerMachine, BalancerStatus, Configuration, GOSSIP_INTERVAL_MS,
-    GossipEvent, Peer, PeerMessage, PeerRole, Search, Segment, decode,
+    GossipEvent, Peer, PeerMessage, PeerRole, QueryResult, Search, Segment, decode,
 };
 use hawthorntide_platform::{
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
     parse_caller_packet, request_class, set_request_class,
 };
+use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{ConfigurationVersion, DurationMs, ResultCode, TimeMs};
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
@@ -24,7 +25,7 @@
 use crate::directory::{Directory, DirectoryEvent};
 use crate::exchange::{ConfigurationClient, ConfigurationServer, ConfigurationSource};
 use crate::metric::{BalancerMetrics, count_refusal};
-use crate::process::{ProcessOptions, perform_gossip, send_message};
+use crate::process::{ProcessOptions, perform_gossip, send_message, send_to_all};
 use crate::sockets::{Clock, MAX_DATAGRAM_BYTES, StartError, bind, receive, send};
 
 /// A draining balancer stops after it receives no packets for this long. The time exceeds the
@@ -209,6 +210,17 @@
                 let message = PeerMessage::Forward(search);
                 send_message(&self.peers, to, &message, packet, &mut self.buffer());
             }
+            BalancerDecision::Query { to, search } => {
+                self.metrics.queries.increment(1);
+                log::info!(
+                    flow:% = segment.flow,
+                    agents = to.len();
+                    "relay: Agents queried for the owner of a flow."
+                );
+                set_request_class(packet, search.class);
+                let message = PeerMessage::Query(search);
+                send_to_all(&self.peers, &to, &message, packet, &mut self.buffer());
+            }
             BalancerDecision::Reset(code) => {
                 count_refusal(code, true);
                 self.log_refusal(segment, code, "relay: Flow refused.");
@@ -226,6 +238,18 @@
         }
     }
 
+    /// Ends the query for the owner of a flow that no agent owns.
+    fn end_query(&self, flow: FlowKey, result: QueryResult) {
+        let code = ResultCode::NoEndpoint;
+        let is_reset = matches!(result, QueryResult::Ended { .. });
+        count_refusal(code, is_reset);
+        log::info!(flow:% = flow, code:% = code, is_reset; "relay: No agent owns the flow.");
+        if let QueryResult::Ended { acknowledged } = result {
+            let caller = SocketAddr::new(flow.caller.ip(), self.caller_port);
+            send(&self.data, &encode_reset(flow, acknowledged), caller);
+        }
+    }
+
     fn log_refusal(&self, segment: &Segment, code: ResultCode, text: &str) {
         let machine = self.machine();
         log::info!(
@@ -282,7 +306,16 @@
                     },
                 );
             }
-            Ok((PeerMessage::Forward(_) | PeerMessage::RegisterFlows(_), _)) => {
+            Ok((PeerMessage::NotOwned { flow }, _)) => {
+                let result = self.machine().handle_not_owned(now, from, flow);
+                if let Some(result) = result {
+                    self.end_query(flow, result);
+                }
+            }
+            Ok((
+                PeerMessage::Forward(_) | PeerMessage::RegisterFlows(_) | PeerMessage::Query(_),
+                _,
+            )) => {
                 log::warn!("relay: Message from {from} dropped: it is meant for an agent.");
             }
             Err(error) => log::warn!("relay: Malformed message from {from} dropped: {error}."),
--- a/crates/relay/src/metric.rs
+++ b/crates/relay/src/metric.rs
@@ -7,6 +7,7 @@
     pub(crate) forwarded: Counter,
     pub(crate) openings: Counter,
     pub(crate) located: Counter,
+    pub(crate) queries: Counter,
     pub(crate) located_flows: Gauge,
     pub(crate) version: Gauge,
     /// 1 while the process watches the configuration in the platform store, otherwise 0.
@@ -33,6 +34,7 @@
             forwarded: counter!("hawthorntide_relay_forwarded_total"),
             openings: counter!("hawthorntide_relay_openings_total"),
             located: counter!("hawthorntide_relay_located_total"),
+            queries: counter!("hawthorntide_relay_owner_queries_total"),
             located_flows: gauge!("hawthorntide_relay_located_flows"),
             version: gauge!("hawthorntide_relay_configuration_version"),
             watching: gauge!("hawthorntide_relay_configuration_watching"),
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -67,6 +67,23 @@
     }
 }
 
+/// Sends a message, followed by the packet, to several processes.
+pub(crate) fn send_to_all(
+    socket: &UdpSocket,
+    to: &[SocketAddr],
+    message: &PeerMessage,
+    packet: &[u8],
+    buffer: &mut Vec<u8>,
+) {
+    match encode(message, packet, buffer) {
+        Ok(()) => to.iter().for_each(|to| send(socket, buffer, *to)),
+        Err(error) => log::error!(
+            "relay: Cannot send a message to {} processes: {error}.",
+            to.len()
+        ),
+    }
+}
+
 pub(crate) fn perform_gossip(socket: &UdpSocket, actions: Vec<GossipAction>, buffer: &mut Vec<u8>) {
     for action in actions {
         match action {
