--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 
 import standins  # noqa: E402
 
-FLOWS = 210
+FLOWS = 300
 
 
 async def use(flow, number, stop):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Another writer sends one ping in which fields are missing."""
+"""Requesters that open their flows from fixed ports, while an endpoint drains."""
 
 import asyncio
 import os
@@ -11,52 +11,55 @@
 
 import standins  # noqa: E402
 
-FLOWS = 70
+# For comparison: with 1, every flow is opened from a new port.
+HAS_NEW_PORTS = os.environ.get("NEW_PORTS") == "1"
 
+PORTS = 70
+PAUSE_S = 1.0
 
-async def use(flow, number, stop):
-    """A requester keeps a flow open, with a pause between its requests."""
+
+async def use(requester, port, route, stop):
+    """Keeps a flow open for many requests, with pauses between them.
+
+    If the endpoint closes the flow first, the next request opens one from the same port, once both ends have closed
+    it. All other flows are opened from new ports.
+    """
     sent = 0
-    await asyncio.sleep(number % 20 * 0.1)
-    while flow.state == "open" and not stop.is_set():
-        await flow.call(f"q-{number}-{sent}", 2.0)
-        sent += 1
-        await asyncio.sleep(2.0)
+    await asyncio.sleep(port % 20 * 0.05)
+    while not stop.is_set():
+        flow = standins.Flow(requester, port, route)
+        requester.flows[flow.key()] = flow
+        if await flow.open():
+            while flow.state == "open" and not stop.is_set():
+                await flow.call(f"q-{requester.ip}-{sent}", 2.0)
+                sent += 1
+                await asyncio.sleep(PAUSE_S)
+        if HAS_NEW_PORTS or not await flow.has_ended():
+            port += PORTS
+            await asyncio.sleep(0.1)
 
 
 async def case(deployment, record, has_trouble):
-    requesters = deployment.requesters
-    opened = []
-    for number in range(FLOWS):
-        flow = requesters[number % 3].flow(deployment.route(0))
-        if await flow.open():
-            opened.append(flow)
-    record.say(f"{len(opened)} flows of {FLOWS} are open")
-    if len(opened) < FLOWS // 2:
-        raise standins.CannotRun("too few flows are open")
     stop = asyncio.Event()
-    users = [asyncio.create_task(use(flow, n, stop)) for n, flow in enumerate(opened)]
-    # All machines are in touch.
-    await asyncio.sleep(standins.STABLE_MS / 1000 + 1.0)
-    if any(flow.system_reset_at for flow in opened):
-        raise standins.CannotRun("flows were reset before the disruption")
-    endpoint = max(deployment.endpoints, key=lambda it: len(it.open_flows()))
-    record(f"endpoint {endpoint.id} holds {len(endpoint.open_flows())} open flows")
+    route = deployment.route(0)
+    users = [asyncio.create_task(use(r, 41_000 + n, route, stop))
+             for r in deployment.requesters for n in range(PORTS)]
+    await asyncio.sleep(standins.STABLE_MS / 1000 + 2.0)
+    leaving = max(deployment.endpoints, key=lambda it: len(it.ran))
     if has_trouble:
-        body = endpoint.ping_body()
-        endpoint.seq -= 1
-        for missing in ("zone", "version"):
-            del body[missing]
-        body.update(seq=1, born=int(time.time() * 1000))
-        status = await standins.http_call(endpoint.control, "POST", "/instances/i-other/heartbeat", body)
-        record(f"another writer's ping without zone and version is answered with {status}")
-    await asyncio.sleep(6.0)
+        await leaving.drain()
+        await asyncio.sleep(standins.DRAIN_MS / 1000 + 3.0)
+    else:
+        await asyncio.sleep(6.0)
     stop.set()
     for user in users:
         user.cancel()
-    held = set(endpoint.open_flows())
-    return [f"FLOW: {flow} was reset by the system; endpoint {endpoint.id} lives and holds it"
-            for flow in opened if flow.system_reset_at and flow.key() in held]
+    if not has_trouble:
+        return []
+    limit = leaving.drain_acknowledged_at + standins.DRAIN_MS / 1000
+    late = [f for f in leaving.openings if f[0] > limit]
+    return [f"DRAIN: {leaving.id} took the opening packet {packet}, "
+            f"{at - leaving.drain_acknowledged_at:.3f} s after the ack" for at, packet in late]
 
 
 standins.run(FOLDER, case)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -576,8 +576,10 @@
         self.state = "new"
         self.system_reset_at = None
         self.waiter = None
-        self.buffer = b""
         self.answers = 0
+        # Sequence number with which the endpoint accepted the flow.
+        self.endpoint_first = None
+        self.is_end_answered = False
 
     def __str__(self):
         return f"{self.source[0]}:{self.source[1]} to {self.route[0]}:{self.route[1]}"
@@ -636,6 +638,7 @@
             self.record(f"requester: MIXED: not as its sender wrote it: {packet}")
         elif packet.flags & (SYN | ACK) == SYN | ACK:
             if self.state == "opening":
+                self.endpoint_first = packet.seq
                 self.acknowledged = (packet.seq + 1) & MASK
                 self.state = "open"
                 self.send(ACK)
@@ -647,6 +650,8 @@
                 self.send(ACK)
             if packet.flags & FIN and (packet.seq + len(packet.data)) & MASK == self.acknowledged:
                 self.close()
+        elif self.state == "closed":
+            self.is_end_answered |= not packet.data
         if self.waiter and not self.waiter.done():
             self.waiter.set_result(None)
 
@@ -668,6 +673,14 @@
         elif self.state == "opening":
             self.state = "refused"
 
+    async def has_ended(self):
+        """Waits until both ends have closed the flow, so that its port is free."""
+        for _ in range(8):
+            if self.state != "closed" or await self.wait(lambda: self.is_end_answered, 0.2):
+                break
+            self.send(FIN | ACK)
+        return self.state == "closed" and self.is_end_answered
+
     def close(self):
         if self.state == "open":
             self.send(FIN | ACK)
@@ -804,6 +817,14 @@
         # Agents take new flows a second after their entry is in the directory.
         await asyncio.sleep(3.0)
 
+    def holder_of(self, flow):
+        """Returns the endpoint that accepted this flow and still holds it open."""
+        for endpoint in self.endpoints:
+            known = endpoint.flows.get(flow.key())
+            if known and known.opened_at and not known.ended and known.first == flow.endpoint_first:
+                return endpoint if endpoint.lives else None
+        return None
+
     def owner_of(self, flow):
         """Returns the endpoint at which the flow is open."""
         for endpoint in self.endpoints:
