Keep the flows of a draining upstream when its agent restarts

Cause: RelayAgent::stop took SIGTERM during a drain for the end of the upstream. It announced the phase `gone` and removed the agent's directory entry and flow record; registrars then returned packets as those of a lost owner, and balancers reset the flows at once. Evidence: log lines "Flow refused", code 77, within 0.2 s of SIGTERM; none without it.

Fix: only the upstream's deregistration removes it (the event carries its name now, never none). An agent that stops beside a draining upstream leaves its entry and writes its flow record with the state of the upstream. The next incarnation stays in `joining` until a heartbeat when the record says that the upstream drains; with its entry in place it would otherwise have taken new flows at once. An agent that joins waits until the record was read, 8 s at most.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -70,9 +70,10 @@
     },
     /// Heartbeat of the upstream.
     Report(UpstreamReport),
-    /// The upstream with this name deregistered, or the agent itself is stopping (`None`).
-    Deregistered(Option<String>),
-    /// The process is about to exit while its upstream keeps running.
+    /// The upstream with this name deregistered.
+    Deregistered(String),
+    /// The process is about to exit. This tells nothing about its upstream, which may serve its flows
+    /// for longer.
     Stopping,
     /// The directory contains the entry of the agent.
     Registered {
@@ -244,6 +245,7 @@
         }
         Some(FlowRecord {
             incarnation: self.upstream.incarnation()?,
+            is_draining: self.phase == Phase::Draining,
             flows: self.flows.record(),
         })
     }
@@ -290,7 +292,7 @@
                     self.deliver_held(now, held, DurationMs(0), out);
                 }
             }
-            AgentEvent::Deregistered(id) => self.handle_deregistered(now, id.as_deref(), out),
+            AgentEvent::Deregistered(id) => self.handle_deregistered(now, &id, out),
             AgentEvent::Registered { was_known } => {
                 self.registered_at = Some(if was_known { now - JOINING_MS } else { now });
                 self.handle_tick(now, out);
@@ -299,6 +301,7 @@
                 self.previous_record =
                     record.map_or(PreviousRecord::Resolved, PreviousRecord::Pending);
                 self.resolve_previous_record(now, out);
+                self.handle_tick(now, out);
             }
             AgentEvent::Tick => self.handle_tick(now, out),
             AgentEvent::Measure => {
@@ -752,8 +755,8 @@
         out.extend(flows.map(|(flow, acknowledged)| AgentAction::Reset { flow, acknowledged }));
     }
 
-    fn handle_deregistered(&mut self, now: TimeMs, id: Option<&str>, out: &mut Vec<AgentAction>) {
-        if id.is_none_or(|id| self.upstream.has_id(id)) {
+    fn handle_deregistered(&mut self, now: TimeMs, id: &str, out: &mut Vec<AgentAction>) {
+        if self.upstream.has_id(id) {
             self.set_phase(now, Phase::Gone, out);
         }
     }
@@ -785,12 +788,16 @@
         self.publish(now, out);
     }
 
-    /// Returns whether gossip has had time to announce the agent to every process.
+    /// Returns whether gossip has had time to announce the agent to every process, and the upstream was
+    /// not draining when the agent's previous incarnation ended.
     fn is_join_complete(&self, now: TimeMs) -> bool {
-        match self.registered_at {
+        let is_overdue = now.since(self.started_at) >= MAX_JOINING_MS;
+        let is_announced = match self.registered_at {
             Some(registered_at) => now.since(registered_at) >= JOINING_MS,
-            None => now.since(self.started_at) >= MAX_JOINING_MS,
-        }
+            None => is_overdue,
+        };
+        let is_record_read = !matches!(self.previous_record, PreviousRecord::NotRead);
+        is_announced && (is_record_read || is_overdue) && !self.previous_record.is_draining()
     }
 
     fn set_phase(&mut self, now: TimeMs, phase: Phase, out: &mut Vec<AgentAction>) {
--- a/crates/opaque/src/record.rs
+++ b/crates/opaque/src/record.rs
@@ -48,6 +48,9 @@
 pub struct FlowRecord {
     #[serde(rename = "life")]
     pub incarnation: UpstreamIncarnation,
+    /// The upstream was draining. Records of earlier versions lack the field.
+    #[serde(default)]
+    pub is_draining: bool,
     pub flows: Vec<RecordedFlow>,
 }
 
@@ -62,6 +65,14 @@
     Resolved,
 }
 
+impl PreviousRecord {
+    /// Returns whether the upstream was draining when the record was written, and has not reported its
+    /// current state yet.
+    pub(crate) fn is_draining(&self) -> bool {
+        matches!(self, Self::Pending(record) if record.is_draining)
+    }
+}
+
 impl UpstreamIncarnation {
     /// Returns the order of two incarnations, or `None` if it is unknown.
     pub(crate) fn compare(&self, other: &Self) -> Option<Ordering> {
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -169,6 +169,8 @@
     pub directory: BTreeMap<u8, Peer>,
     /// The platform store may have lost entries of the directory.
     pub is_directory_incomplete: bool,
+    /// Agents that start find no record of a previous incarnation. Otherwise the test passes the record.
+    pub has_no_records: bool,
     incarnations: u64,
     /// Processes that are partitioned from all others.
     pub partitioned: BTreeSet<u8>,
@@ -209,6 +211,7 @@
             services,
             directory: BTreeMap::new(),
             is_directory_incomplete: false,
+            has_no_records: true,
             incarnations: 0,
             partitioned: BTreeSet::new(),
             broken_links: BTreeSet::new(),
@@ -292,6 +295,9 @@
         let was_known = self.directory.contains_key(&number);
         let event = AgentEvent::Registered { was_known };
         machine.handle(self.now, event, &mut actions);
+        if self.has_no_records {
+            machine.handle(self.now, AgentEvent::RecordRead(None), &mut actions);
+        }
         let node = AgentNode {
             machine,
             service: service_number,
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -135,7 +135,7 @@
 fn a_deregistered_upstream_stays_gone_until_its_next_incarnation() {
     let mut fleet = Fleet::new(1, 2, 1);
     fleet.agent_event(100, AgentEvent::Report(common::report(5, 7, true)), None);
-    let deregistered = AgentEvent::Deregistered(Some("upstream-5".to_owned()));
+    let deregistered = AgentEvent::Deregistered("upstream-5".to_owned());
     fleet.agent_event(100, deregistered, None);
     fleet.agent_event(100, AgentEvent::Report(common::report(5, 8, true)), None);
     expect_that!(fleet.agents[&100].machine.phase(), eq(Phase::Gone));
--- a/crates/opaque/tests/large_fleet.rs
+++ b/crates/opaque/tests/large_fleet.rs
@@ -99,7 +99,8 @@
         fleet.add_agent(number, 1);
     }
     for number in last - 10..last {
-        fleet.agent_event(number, AgentEvent::Deregistered(None), None);
+        let deregistered = AgentEvent::Deregistered("upstream-1".to_owned());
+        fleet.agent_event(number, deregistered, None);
     }
     fleet.run_for(2_000);
     restart_balancers(&mut fleet, &weighted(3, 0, 1));
--- a/crates/opaque/tests/record.rs
+++ b/crates/opaque/tests/record.rs
@@ -17,6 +17,7 @@
 /// Opens flows at the only agent and returns them with their initial sequence numbers.
 fn fleet_with_flows() -> (Fleet, Vec<(FlowKey, u32)>) {
     let mut fleet = Fleet::new(1, 1, 1);
+    fleet.has_no_records = false;
     let mut flows = Vec::new();
     for caller in 0..5 {
         let key = flow(caller, 0);
@@ -145,6 +146,30 @@
     expect_that!(outcome, not(eq(Outcome::Accepted(AGENT))));
 }
 
+// An agent restarts beside a draining upstream: it must not take new flows for it before a heartbeat tells it
+// of the drain. A new incarnation of the upstream does not drain.
+#[gtest]
+fn an_agent_takes_no_new_flows_for_an_upstream_that_drained_before_its_restart() {
+    let (mut fleet, _) = fleet_with_flows();
+    expect_that!(record_of(&mut fleet).is_draining, eq(false));
+    fleet.agent_event(AGENT, AgentEvent::Report(report(1, u64::MAX, true)), None);
+    let record = record_of(&mut fleet);
+    expect_that!(record.is_draining, eq(true));
+    for (born_ms, is_draining, expected) in [(1, true, Phase::Draining), (2, false, Phase::Serving)]
+    {
+        fleet.restart_agent(AGENT);
+        fleet.agent_event(AGENT, AgentEvent::Tick, None);
+        expect_that!(fleet.agents[&AGENT].machine.phase(), eq(Phase::Joining));
+        read_record(&mut fleet, &record);
+        fleet.now = fleet.now + DurationMs(20_000);
+        fleet.agent_event(AGENT, AgentEvent::Tick, None);
+        expect_that!(fleet.agents[&AGENT].machine.phase(), eq(Phase::Joining));
+        let event = AgentEvent::Report(report(born_ms, u64::MAX, is_draining));
+        fleet.agent_event(AGENT, event, None);
+        expect_that!(fleet.agents[&AGENT].machine.phase(), eq(expected));
+    }
+}
+
 // The writes of all agents together must stay within the limits of the store.
 #[gtest]
 fn the_record_interval_grows_with_the_number_of_agents_up_to_a_limit() {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -34,8 +34,8 @@
 /// Limit for a connection attempt to the upstream, which is on the same VM.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Limit for removing the objects of the agent from the platform store when it stops.
-const REMOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Limit for writing or removing the objects of the agent in the platform store when it stops.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Log target for requests; it has its own limit of lines per second.
 const REQUEST_LOG: &str = "hawthorntide_relay::request";
@@ -184,37 +184,58 @@
         })
     }
 
-    /// Stops the agent. If its upstream is draining or gone, removes its objects from the platform
-    /// store.
+    /// Returns the phase of the upstream as its heartbeats report it.
+    pub fn phase(&self) -> Phase {
+        self.shared.machine().phase()
+    }
+
+    /// Stops the agent. If its upstream has deregistered, removes its objects from the platform store. If
+    /// its upstream is draining, records this for the next incarnation of the agent: the stop may be a
+    /// restart, while the upstream still serves its flows.
     pub async fn stop(&self) {
-        let phase = self.shared.machine().phase();
+        let phase = self.phase();
         let held_flows = self.shared.machine().held_flows();
         log::info!(phase:% = phase, held_flows; "relay: Agent stops.");
         self.shared.handle(AgentEvent::Stopping, &mut [], None);
-        if !matches!(phase, Phase::Draining | Phase::Gone) {
-            return;
-        }
-        self.shared
-            .handle(AgentEvent::Deregistered(None), &mut [], None);
-        if timeout(REMOVE_TIMEOUT, self.remove_objects())
-            .await
-            .is_err()
-        {
-            log::warn!("relay: Timed out removing objects from the platform store.");
+        let is_in_time = match phase {
+            Phase::Gone => timeout(LAST_WRITE_TIMEOUT, self.remove_objects()).await,
+            Phase::Draining => timeout(LAST_WRITE_TIMEOUT, self.write_last_record()).await,
+            Phase::Joining | Phase::Serving => return,
+        };
+        if is_in_time.is_err() {
+            log::warn!("relay: Timed out updating objects in the platform store.");
         }
     }
 
-    async fn remove_objects(&self) {
-        // Otherwise they would write the removed objects again.
+    /// Ends the tasks that write objects of this agent, which would write removed ones again.
+    fn stop_writers(&self) {
         for writer in &self.writers {
             writer.abort();
         }
+    }
+
+    async fn remove_objects(&self) {
+        self.stop_writers();
         for kind in [ObjectKind::Directory, ObjectKind::FlowRecord] {
             if let Some(key) = object_key(kind, &self.local_peer) {
                 remove_object(&self.store, &key).await;
             }
         }
     }
+
+    async fn write_last_record(&self) {
+        let Some(key) = object_key(ObjectKind::FlowRecord, &self.local_peer) else {
+            return;
+        };
+        let Some(record) = self.shared.machine().record() else {
+            // The record of the previous incarnation is still in place.
+            return;
+        };
+        self.stop_writers();
+        let recorder =
+            FlowRecorder::new(Arc::clone(&self.store), key, self.shared.recovery.clone());
+        recorder.write_last(&record).await;
+    }
 }
 
 impl Shared {
@@ -578,7 +599,7 @@
     }
 
     fn handle_deregistration(&self, id: &str) {
-        self.handle(AgentEvent::Deregistered(Some(id.to_owned())), &mut [], None);
+        self.handle(AgentEvent::Deregistered(id.to_owned()), &mut [], None);
     }
 
     fn metrics(&self) -> String {
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Writes the last record of a process that stops, whatever the object's version is.
+    pub(crate) async fn write_last(&self, record: &FlowRecord) {
+        let mut version = Version::NONE;
+        self.write_record(record, &mut version).await;
+    }
+
     /// Reads the object; retries until the store answers.
     async fn read_object(&self) -> Option<StoredObject> {
         let mut backoff = Backoff::new(self.recovery.clone());
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -85,37 +85,54 @@
     timeout(limit, is_true).await.is_ok()
 }
 
-/// Starts an agent on `host` and its upstream, which has no flows.
-pub async fn spawn_agent(host: u8, seed: u8, store_address: SocketAddr) -> (RelayAgent, Upstream) {
-    let (heartbeat_address, output_address) = (address(host, 27_726), address(host, 27_722));
-    let upstream_address = address(host, 27_725);
-    let heartbeat_interval = Duration::from_millis(500);
-    let options = RelayAgentOptions {
+/// Options of the agent on `host`, which learns of the process on `seed`.
+pub fn agent_options(host: u8, seed: u8, store_address: SocketAddr) -> RelayAgentOptions {
+    RelayAgentOptions {
         process: process_options(host, seed, store_address),
         service: "service".parse().unwrap(),
-        upstream_address,
-        upstream_output_address: output_address,
-        heartbeat_address,
+        upstream_address: address(host, 27_725),
+        upstream_output_address: address(host, 27_722),
+        heartbeat_address: address(host, 27_726),
         ready_address: address(host, 27_727),
         metrics_address: None,
         caller_port: 27_721,
         heartbeat_ms: DurationMs(500),
         flow_idle_ms: DurationMs(60_000),
-    };
-    let agent = RelayAgent::spawn(options).await.unwrap();
-    let options = UpstreamOptions {
+    }
+}
+
+/// Starts an agent on `host` and its upstream, which has no flows.
+pub async fn spawn_agent(host: u8, seed: u8, store_address: SocketAddr) -> (RelayAgent, Upstream) {
+    let options = agent_options(host, seed, store_address);
+    let upstream_options = UpstreamOptions {
         id: format!("upstream-{host}"),
         service: "service".to_owned(),
-        address: upstream_address,
-        output_address,
-        heartbeat_address,
-        heartbeat_interval,
+        address: options.upstream_address,
+        output_address: options.upstream_output_address,
+        heartbeat_address: options.heartbeat_address,
+        heartbeat_interval: Duration::from_millis(500),
         service_time: Duration::from_millis(20),
     };
-    let upstream = Upstream::bind(options, Duration::from_secs(3)).await;
+    let agent = RelayAgent::spawn(options).await.unwrap();
+    let upstream = Upstream::bind(upstream_options, Duration::from_secs(3)).await;
     (agent, upstream.unwrap())
 }
 
+/// Starts the next incarnation of a process, once the previous one has released its sockets.
+pub async fn respawn_agent(mut options: RelayAgentOptions) -> RelayAgent {
+    let process = &mut options.process;
+    process.incarnation = Incarnation(process.incarnation.0 + 1_000);
+    let spawned = async {
+        loop {
+            if let Ok(agent) = RelayAgent::spawn(options.clone()).await {
+                return agent;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, spawned).await.unwrap()
+}
+
 /// Returns the name of an object of the process on `host` in the platform store.
 pub fn object_name(kind: ObjectKind, host: u8) -> String {
     let address = address(host, PEER_PORT);
--- a/crates/relay/tests/record.rs
+++ b/crates/relay/tests/record.rs
@@ -22,6 +22,7 @@
             id: "i".repeat(64),
             born_ms: u64::MAX,
         },
+        is_draining: true,
         flows: vec![flow; MAX_RECORDED_FLOWS],
     };
     // The store embeds the value as a JSON string in its own JSON.
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -96,6 +96,7 @@
     expect_true!(becomes_true(has_entry, TEST_TIMEOUT).await);
     upstream.drain();
     sleep(Duration::from_secs(1)).await;
+    expect_that!(upstream.deregister().await, some(eq(200)));
     agent.stop().await;
     expect_false!(has_entry());
     // Longer than the time between two listings of the directory.
