Relay queries for the owner of a flow through agents

Cause: a balancer sent a copy of the packet to each agent over its own link. Change: one message for 32 agents, one of which sends the packet on; each transmission chooses another one, doubtful agents last.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -42,6 +42,10 @@
 /// Limit on the flows whose owner is being queried.
 const MAX_QUERIES: usize = 10_000;
 
+/// Agents that one message queries. The message names them, so that it stays below two kilobytes with the
+/// packet.
+const MAX_QUERY_PART: usize = 32;
+
 /// Time between two scans of the cache for expired entries.
 const EXPIRY_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
@@ -62,7 +66,7 @@
     },
     /// Sends the packet to several agents at once, to find the owner of its flow.
     Query {
-        to: Vec<SocketAddr>,
+        parts: Vec<QueryPart>,
         search: Search,
     },
     /// Sends the caller a reset.
@@ -70,6 +74,16 @@
     Drop(ResultCode),
 }
 
+/// Agents that are queried by one message of the balancer: the delegate sends the packet on to the others.
+///
+/// The link of a balancer may be a hundred times slower than those of agents, and after a loss of power
+/// thousands of callers return to it at once.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueryPart {
+    pub delegate: SocketAddr,
+    pub others: Vec<SocketAddr>,
+}
+
 /// How a balancer keeps its configuration up to date.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConfigurationTask {
@@ -128,12 +142,38 @@
 struct OwnerQuery {
     started_at: TimeMs,
     unanswered: Vec<SocketAddr>,
+    /// Number of times that the query was sent.
+    transmissions: usize,
     /// Agents that do not own the flow.
     answered: usize,
     /// Sequence number that the caller acknowledges next; `None` if it does not wait for an answer.
     acknowledged: Option<u32>,
 }
 
+impl OwnerQuery {
+    /// Returns the messages that query the agents without an answer. Each transmission chooses other delegates,
+    /// doubtful agents only among themselves: the part of a delegate that has died is lost.
+    fn next_parts(&mut self, is_doubtful: impl Fn(SocketAddr) -> bool) -> Vec<QueryPart> {
+        let transmission = self.transmissions;
+        self.transmissions += 1;
+        let parts = self.unanswered.chunks(MAX_QUERY_PART).map(|agents| {
+            let (doubtful, certain): (Vec<_>, Vec<_>) = agents
+                .iter()
+                .copied()
+                .partition(|agent| is_doubtful(*agent));
+            let mut others = [certain.clone(), doubtful].concat();
+            let candidates = if certain.is_empty() {
+                others.len()
+            } else {
+                certain.len()
+            };
+            let delegate = others.swap_remove(transmission % candidates);
+            QueryPart { delegate, others }
+        });
+        parts.collect()
+    }
+}
+
 /// Result of a query that no agent answered as the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QueryResult {
@@ -551,6 +591,7 @@
             let query = OwnerQuery {
                 started_at: now,
                 unanswered: unvisited.copied().collect(),
+                transmissions: 0,
                 answered: search.visited.len(),
                 acknowledged: None,
             };
@@ -572,10 +613,9 @@
             };
         }
         search.is_parallel = true;
-        BalancerDecision::Query {
-            to: query.unanswered.clone(),
-            search,
-        }
+        let view = self.gossip.view();
+        let parts = query.next_parts(|agent| view.is_doubtful(now, agent));
+        BalancerDecision::Query { parts, search }
     }
 
     /// Handles the answer of an agent that does not own `flow`. Returns the result once all agents answered.
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -23,7 +23,7 @@
 mod view;
 
 pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions};
-pub use balancer::{BalancerDecision, BalancerMachine, ConfigurationTask, QueryResult};
+pub use balancer::{BalancerDecision, BalancerMachine, ConfigurationTask, QueryPart, QueryResult};
 pub use class::RequestClass;
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -27,7 +27,7 @@
     /// Agents that the packet has visited and that did not accept it.
     pub visited: Vec<SocketAddr>,
     /// Whether the packet is sent to all agents at once: one that does not own the flow answers, instead of
-    /// forwarding it. Not part of the encoded message: `Query` implies it.
+    /// forwarding it. Not part of the encoded message: `Query` and `RelayQuery` imply it.
     #[serde(skip)]
     pub is_parallel: bool,
     /// Class of the route. Not part of the encoded message: it travels in the header of the packet.
@@ -35,7 +35,8 @@
     pub class: RequestClass,
 }
 
-/// Message between processes; `Forward`, `Exhausted`, `OwnerLost` and `Query` are followed by the packet.
+/// Message between processes; `Forward`, `Exhausted`, `OwnerLost`, `Query` and `RelayQuery` are followed by the
+/// packet.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// Packet of a caller, sent to an agent.
@@ -63,6 +64,11 @@
     Query(Search),
     /// Answers `Query`: the sender does not own the flow.
     NotOwned { flow: FlowKey },
+    /// Packet of a caller, sent to an agent that queries `agents` with it and is queried itself.
+    RelayQuery {
+        search: Search,
+        agents: Vec<SocketAddr>,
+    },
 }
 
 /// Reply that the sender of a gossip message requests; a reply also acknowledges the probe.
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -215,6 +215,12 @@
         index.is_ok_and(|index| self.peers[index].is_unreachable(now))
     }
 
+    /// Returns whether this process or another one suspects the peer at `address`.
+    pub(crate) fn is_doubtful(&self, now: TimeMs, address: SocketAddr) -> bool {
+        let index = self.index(address);
+        index.is_ok_and(|index| self.peers[index].is_doubtful(now))
+    }
+
     /// Returns whether the peer answers probes of this process, so that its messages arrive without the
     /// detour through others.
     pub(crate) fn has_direct_path(&self, address: SocketAddr) -> bool {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -24,7 +24,7 @@
 use crate::backoff::StoreRecovery;
 use crate::directory::{Directory, DirectoryEvent, object_key, remove_object};
 use crate::metric::{AgentMetrics, count_refusal};
-use crate::process::{ProcessOptions, perform_gossip, send_message};
+use crate::process::{ProcessOptions, perform_gossip, send_message, send_to_all};
 use crate::record::FlowRecorder;
 use crate::sockets::{Clock, MAX_DATAGRAM_BYTES, StartError, bind, receive, send};
 
@@ -437,10 +437,14 @@
                 let start = datagram.len() - packet.len();
                 self.handle_forwarded(&mut datagram[start..], from, search);
             }
-            Ok((PeerMessage::Query(mut search), packet)) => {
-                search.is_parallel = true;
+            Ok((PeerMessage::Query(search), packet)) => {
                 let start = datagram.len() - packet.len();
-                self.handle_forwarded(&mut datagram[start..], from, search);
+                self.handle_query(&mut datagram[start..], from, search);
+            }
+            Ok((PeerMessage::RelayQuery { search, agents }, packet)) => {
+                let start = datagram.len() - packet.len();
+                self.relay_query(&datagram[start..], &search, &agents);
+                self.handle_query(&mut datagram[start..], from, search);
             }
             Ok((PeerMessage::RegisterFlows(flows), _)) => {
                 let event = AgentEvent::FlowsRegistered { owner: from, flows };
@@ -459,6 +463,19 @@
         }
     }
 
+    fn handle_query(&self, packet: &mut [u8], from: SocketAddr, mut search: Search) {
+        search.is_parallel = true;
+        self.handle_forwarded(packet, from, search);
+    }
+
+    /// Queries other agents in place of the balancer, which gets their answers.
+    fn relay_query(&self, packet: &[u8], search: &Search, agents: &[SocketAddr]) {
+        self.metrics.relayed_queries.increment(1);
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        let message = PeerMessage::Query(search.clone());
+        send_to_all(&self.peers, agents, &message, packet, &mut buffer);
+    }
+
     fn handle_forwarded(&self, packet: &mut [u8], from: SocketAddr, mut search: Search) {
         let segment = match parse_caller_packet(packet) {
             Ok(segment) => segment,
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -8,7 +8,7 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     BalancerDecision, BalancerMachine, BalancerStatus, Configuration, GOSSIP_INTERVAL_MS,
-    GossipEvent, Peer, PeerMessage, PeerRole, QueryResult, Search, Segment, decode,
+    GossipEvent, Peer, PeerMessage, PeerRole, QueryPart, QueryResult, Search, Segment, decode,
 };
 use hawthorntide_platform::{
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
@@ -25,7 +25,7 @@
 use crate::directory::{Directory, DirectoryEvent};
 use crate::exchange::{ConfigurationClient, ConfigurationServer, ConfigurationSource};
 use crate::metric::{BalancerMetrics, count_refusal};
-use crate::process::{ProcessOptions, perform_gossip, send_message, send_to_all};
+use crate::process::{ProcessOptions, perform_gossip, send_message};
 use crate::sockets::{Clock, MAX_DATAGRAM_BYTES, StartError, bind, receive, send};
 
 /// A draining balancer stops after it receives no packets for this long. The time exceeds the
@@ -210,16 +210,21 @@
                 let message = PeerMessage::Forward(search);
                 send_message(&self.peers, to, &message, packet, &mut self.buffer());
             }
-            BalancerDecision::Query { to, search } => {
+            BalancerDecision::Query { parts, search } => {
                 self.metrics.queries.increment(1);
                 log::info!(
                     flow:% = segment.flow,
-                    agents = to.len();
+                    agents = parts.iter().map(|part| 1 + part.others.len()).sum::<usize>();
                     "relay: Agents queried for the owner of a flow."
                 );
                 set_request_class(packet, search.class);
-                let message = PeerMessage::Query(search);
-                send_to_all(&self.peers, &to, &message, packet, &mut self.buffer());
+                for QueryPart { delegate, others } in parts {
+                    let message = PeerMessage::RelayQuery {
+                        search: search.clone(),
+                        agents: others,
+                    };
+                    send_message(&self.peers, delegate, &message, packet, &mut self.buffer());
+                }
             }
             BalancerDecision::Reset(code) => {
                 count_refusal(code, true);
@@ -313,7 +318,10 @@
                 }
             }
             Ok((
-                PeerMessage::Forward(_) | PeerMessage::RegisterFlows(_) | PeerMessage::Query(_),
+                PeerMessage::Forward(_)
+                | PeerMessage::RegisterFlows(_)
+                | PeerMessage::Query(_)
+                | PeerMessage::RelayQuery { .. },
                 _,
             )) => {
                 log::warn!("relay: Message from {from} dropped: it is meant for an agent.");
