Do not register, record or reset flows that have ended

Cause: an agent kept ended flows in its table and registered them like open ones, also after its upstream had deregistered. A restarted agent believed such a registration of a departed owner before it asked its own upstream, and the balancer reset the flow.

Fix: a flow on which both ends have sent their last packet is neither registered, nor recorded, nor reset with its upstream. An agent whose upstream has left registers nothing; its registrations are void. A flow that is accepted again is registered again.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -389,7 +389,8 @@
                 flow: segment.flow,
             });
         }
-        if segment.kind == SegmentKind::Established {
+        let is_alive = self.flows.is_alive(&segment.flow);
+        if segment.kind == SegmentKind::Established && is_alive && self.phase != Phase::Gone {
             self.register_flow(now, segment.flow, out);
         }
         if segment.kind == SegmentKind::Reset {
@@ -552,6 +553,7 @@
     /// Announces an accepted flow to the balancers in the failure domain whose balancer received
     /// the opening packet, unless they would try this agent first anyway.
     fn handle_accepted(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
+        self.own_registrations.forget(&flow);
         let Some((delivered_at, pending)) = self.pending.pending_opening(&flow) else {
             return;
         };
@@ -589,26 +591,34 @@
         out.extend(messages.into_iter().map(register_action));
     }
 
-    /// Registers the flows that are not registered yet, or whose registrars changed.
+    /// Registers the flows that are not registered yet, or whose registrars changed. Those of an upstream that
+    /// has left ended with it.
     fn register_flows(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
+        if self.phase == Phase::Gone {
+            self.own_registrations.clear();
+            return;
+        }
         let flows = &self.flows;
         let messages = self.own_registrations.run_round(
             now,
             self.gossip.view(),
             self.gossip.local_peer().address,
             flows.open_flows(),
-            |flow| flows.contains(flow),
+            |flow| flows.is_alive(flow),
         );
         out.extend(messages.into_iter().map(register_action));
     }
 
-    /// Returns the other agent that registered the flow of a packet, unless the packet has visited it.
+    /// Returns the other agent that registered the flow of a packet, unless the packet has visited it. The
+    /// registration of an agent whose upstream has left is void: the addresses may belong to a new flow.
     fn registered_owner(&self, search: &Search, segment: &Segment) -> Option<SocketAddr> {
         if segment.is_opening() || self.flows.contains(&segment.flow) {
             return None;
         }
         let owner = self.registrar.owner(&segment.flow)?;
-        let is_possible = owner != self.local_address() && !search.visited.contains(&owner);
+        let is_possible = owner != self.local_address()
+            && !search.visited.contains(&owner)
+            && !self.gossip.view().has_left(owner);
         is_possible.then_some(owner)
     }
 
--- a/crates/opaque/src/flow_table.rs
+++ b/crates/opaque/src/flow_table.rs
@@ -42,6 +42,40 @@
     received_end: Option<u32>,
     /// `None` if the handshake was not observed.
     handshake: Option<Handshake>,
+    /// The caller has sent its last packet.
+    is_closed_by_caller: bool,
+    /// The upstream has sent its last packet.
+    is_closed_by_upstream: bool,
+}
+
+impl FlowEntry {
+    const fn new(now: TimeMs, state: FlowState) -> Self {
+        Self {
+            state,
+            last_packet: now,
+            busy_since: None,
+            received_end: None,
+            handshake: None,
+            is_closed_by_caller: false,
+            is_closed_by_upstream: false,
+        }
+    }
+
+    /// A flow that has ended stays in the table for late packets. Its addresses may belong to a new flow at
+    /// another upstream, so nobody else must hear of it.
+    const fn has_ended(&self) -> bool {
+        self.is_closed_by_caller && self.is_closed_by_upstream
+    }
+
+    /// Returns the sequence number that the caller acknowledges next, if its flow is open.
+    const fn open_end(&self) -> Option<u32> {
+        match self.state {
+            FlowState::Open { end } | FlowState::Recorded { end } if !self.has_ended() => Some(end),
+            FlowState::Accepting { .. } | FlowState::Open { .. } | FlowState::Recorded { .. } => {
+                None
+            }
+        }
+    }
 }
 
 /// Initial sequence numbers of both ends. They tell a flow from an earlier one with the same addresses.
@@ -128,36 +162,43 @@
         }
     }
 
-    /// Removes all flows; returns each with the sequence number that its caller acknowledges next.
+    /// Removes all flows; returns those that have not ended, each with the sequence number that its caller
+    /// acknowledges next.
     pub(crate) fn take_all(&mut self) -> Vec<(FlowKey, u32)> {
         self.busy_flows = 0;
         let flows = self.flows.drain();
         flows
-            .map(|(key, flow)| match flow.state {
-                FlowState::Accepting { expected } => (key, expected),
-                FlowState::Open { end } | FlowState::Recorded { end } => (key, end),
+            .filter_map(|(key, flow)| match flow.state {
+                FlowState::Accepting { expected } => Some((key, expected)),
+                FlowState::Open { .. } | FlowState::Recorded { .. } => {
+                    Some((key, flow.open_end()?))
+                }
             })
             .collect()
     }
 
-    /// Returns the flows whose callers have completed the handshake.
+    /// Returns whether the flow is in the table and has not ended.
+    pub(crate) fn is_alive(&self, flow: &FlowKey) -> bool {
+        let flow = self.flows.get(flow);
+        flow.is_some_and(|flow| !flow.has_ended())
+    }
+
+    /// Returns the open flows.
     pub(crate) fn open_flows(&self) -> impl Iterator<Item = &FlowKey> {
         let flows = self.flows.iter();
-        let is_open = |entry: &FlowEntry| !matches!(entry.state, FlowState::Accepting { .. });
         flows
-            .filter(move |(_, entry)| is_open(entry))
+            .filter(|(_, entry)| entry.open_end().is_some())
             .map(|(flow, _)| flow)
     }
 
     /// Returns the open flows, at most `MAX_RECORDED_FLOWS`.
     pub(crate) fn record(&self) -> Vec<RecordedFlow> {
         let flows = self.flows.iter();
-        let open = flows.filter_map(|(flow, entry)| match entry.state {
-            FlowState::Accepting { .. } => None,
-            FlowState::Open { end } | FlowState::Recorded { end } => Some(RecordedFlow {
+        let open = flows.filter_map(|(flow, entry)| {
+            Some(RecordedFlow {
                 flow: *flow,
-                acknowledged: end,
-            }),
+                acknowledged: entry.open_end()?,
+            })
         });
         open.take(MAX_RECORDED_FLOWS).collect()
     }
@@ -165,15 +206,10 @@
     /// Adds flows from the record of the agent's previous incarnation.
     pub(crate) fn restore(&mut self, now: TimeMs, flows: &[RecordedFlow]) {
         for recorded in flows {
-            let flow = FlowEntry {
-                state: FlowState::Recorded {
-                    end: recorded.acknowledged,
-                },
-                last_packet: now,
-                busy_since: None,
-                received_end: None,
-                handshake: None,
+            let state = FlowState::Recorded {
+                end: recorded.acknowledged,
             };
+            let flow = FlowEntry::new(now, state);
             self.flows.insert(recorded.flow, flow);
         }
     }
@@ -192,14 +228,7 @@
                 was_busy.then_some(FlowChange::Aborted)
             }
             SegmentKind::Established => {
-                let end = segment.end();
-                let state = match self.flows.get(&segment.flow).map(|flow| flow.state) {
-                    Some(FlowState::Open { end: known }) if !is_after(end, known) => {
-                        FlowState::Open { end: known }
-                    }
-                    _ => FlowState::Open { end },
-                };
-                let after_ms = self.update(now, segment, state)?;
+                let after_ms = self.record_upstream_data(now, segment)?;
                 Some(FlowChange::Answered { after_ms })
             }
             SegmentKind::Opening { .. } => None,
@@ -220,14 +249,13 @@
             return None;
         }
         self.remove(&segment.flow);
+        let state = FlowState::Accepting {
+            expected: segment.sequence.wrapping_add(1),
+        };
         let flow = FlowEntry {
-            state: FlowState::Accepting {
-                expected: segment.sequence.wrapping_add(1),
-            },
-            last_packet: now,
-            busy_since: None,
             received_end: Some(segment.acknowledged),
             handshake: Some(handshake),
+            ..FlowEntry::new(now, state)
         };
         self.flows.insert(segment.flow, flow);
         Some(FlowChange::Accepted)
@@ -260,6 +288,7 @@
             return None;
         }
         flow.last_packet = now;
+        flow.is_closed_by_caller |= segment.is_last;
         let is_new = |end| is_after(segment.end(), end);
         if segment.payload_bytes == 0 || !flow.received_end.is_none_or(is_new) {
             return Some(CallerPacket::Other);
@@ -285,30 +314,25 @@
         }
     }
 
-    /// Updates a flow for a packet of the upstream; returns the response time if the packet is the
-    /// first one of an answer.
-    fn update(&mut self, now: TimeMs, segment: &Segment, state: FlowState) -> Option<DurationMs> {
-        let known = self.flows.get(&segment.flow);
-        let mut busy_since = known.and_then(|flow| flow.busy_since);
-        let received_end = known.and_then(|flow| flow.received_end);
-        let handshake = known.and_then(|flow| flow.handshake);
-        let mut waited = None;
-        if segment.payload_bytes > 0
-            && let Some(since) = busy_since.take()
-        {
-            self.busy_flows -= 1;
-            waited = Some(now.since(since));
+    /// Updates a flow for a packet of the upstream; returns the response time if the packet is the first one
+    /// of an answer.
+    fn record_upstream_data(&mut self, now: TimeMs, segment: &Segment) -> Option<DurationMs> {
+        let end = segment.end();
+        let flow = self.flows.entry(segment.flow);
+        let flow = flow.or_insert_with(|| FlowEntry::new(now, FlowState::Open { end }));
+        if !matches!(flow.state, FlowState::Open { end: known } if !is_after(end, known)) {
+            flow.state = FlowState::Open { end };
         }
-        let flow = FlowEntry {
-            state,
-            last_packet: now,
-            busy_since,
-            // An upstream acknowledges no more than it has received.
-            received_end: received_end.or(Some(segment.acknowledged)),
-            handshake,
-        };
-        self.flows.insert(segment.flow, flow);
-        waited
+        flow.last_packet = now;
+        flow.is_closed_by_upstream |= segment.is_last;
+        // An upstream acknowledges no more than it has received.
+        flow.received_end.get_or_insert(segment.acknowledged);
+        if segment.payload_bytes == 0 {
+            return None;
+        }
+        let since = flow.busy_since.take()?;
+        self.busy_flows -= 1;
+        Some(now.since(since))
     }
 
     fn expire(&mut self, now: TimeMs) {
--- a/crates/opaque/src/registrar.rs
+++ b/crates/opaque/src/registrar.rs
@@ -150,19 +150,29 @@
         others.map(message).collect()
     }
 
+    /// Forgets a flow, so that it is registered again: another agent may have registered it since.
+    pub(crate) fn forget(&mut self, flow: &FlowKey) {
+        self.flows.remove(flow);
+    }
+
+    /// Forgets all flows.
+    pub(crate) fn clear(&mut self) {
+        self.flows.clear();
+    }
+
     /// Returns the messages of a round: new flows, those whose registrars changed, and repetitions.
     ///
-    /// `open_flows` are all open flows of the upstream; `is_owned` tells whether a flow is still in its
-    /// table.
+    /// `open_flows` are all open flows of the upstream; `is_alive` tells whether a flow has
+    /// not ended.
     pub(crate) fn run_round<'a>(
         &mut self,
         now: TimeMs,
         view: &PeerView,
         local_address: SocketAddr,
         open_flows: impl Iterator<Item = &'a FlowKey>,
-        is_owned: impl Fn(&FlowKey) -> bool,
+        is_alive: impl Fn(&FlowKey) -> bool,
     ) -> Vec<RegistrationMessage> {
-        self.flows.retain(|flow, _| is_owned(flow));
+        self.flows.retain(|flow, _| is_alive(flow));
         for flow in open_flows {
             self.flows.entry(*flow).or_insert_with(|| Registration {
                 registrars: view.registrars(now, flow),
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -387,6 +387,12 @@
         [first, second].map(|ranked| ranked.map(|(_, address)| address))
     }
 
+    /// Returns whether the upstream of the agent at `address` has deregistered.
+    pub(crate) fn has_left(&self, address: SocketAddr) -> bool {
+        let agent = self.find(address).and_then(Peer::agent);
+        agent.is_some_and(|status| status.phase == Phase::Gone)
+    }
+
     /// Returns whether the agent at `address` has left or is unreachable. One that is not known yet may have
     /// just joined.
     pub(crate) fn is_lost(&self, now: TimeMs, address: SocketAddr) -> bool {
