Keep the flows of an agent that was stopped as planned

Cause: a stopping agent said nothing to its peers, so it looked like one lost with its VM, whose flows are reset. Fix: it tells all peers (role StoppedAgent), unless its upstream has deregistered or is not alive. Until its next incarnation it gets no new flows; its flows are not reset and go to its address, for which a registrar announces the owner to a balancer that does not know it. A query resets nothing while such an agent is known.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -145,10 +145,11 @@
         to: SocketAddr,
         flow: FlowKey,
     },
-    /// Announces to the balancer `to` that this agent owns `flow`.
+    /// Announces to the balancer `to` which agent owns `flow`.
     AnnounceOwner {
         to: SocketAddr,
         flow: FlowKey,
+        owner: SocketAddr,
     },
     /// Registers open flows of this agent with the agent `to`.
     RegisterFlows {
@@ -191,6 +192,8 @@
     requests: Requests,
     pending: PendingPackets,
     phase: Phase,
+    /// The process is about to exit.
+    is_stopping: bool,
     started_at: TimeMs,
     /// When the directory entry was confirmed. Set back by `JOINING_MS` if the entry is older than the
     /// process, so that joining ends at once.
@@ -213,6 +216,7 @@
             requests: Requests::new(),
             pending: PendingPackets::new(options.seed as u32),
             phase: Phase::Joining,
+            is_stopping: false,
             started_at: now,
             registered_at: None,
             upstream: UpstreamHealth::new(now, options.heartbeat_ms),
@@ -291,6 +295,8 @@
                 for held in self.requests.take_all() {
                     self.deliver_held(now, held, DurationMs(0), out);
                 }
+                self.is_stopping = true;
+                self.publish(now, out);
             }
             AgentEvent::Deregistered(id) => self.handle_deregistered(now, &id, out),
             AgentEvent::Registered { was_known } => {
@@ -336,7 +342,7 @@
         // Another agent sent the packet here because this one registered its flow.
         let is_expected = search.is_parallel || search.visited.contains(&self.local_address());
         if !is_expected && let Some(owner) = self.registered_owner(&search, segment) {
-            out.push(self.forward_to_owner(now, owner, search, None));
+            self.forward_to_owner(now, owner, search, segment, None, out);
             return;
         }
         if self.owns(segment) {
@@ -387,6 +393,7 @@
             out.push(AgentAction::AnnounceOwner {
                 to: search.balancer,
                 flow: segment.flow,
+                owner: self.local_address(),
             });
         }
         let is_alive = self.flows.is_alive(&segment.flow);
@@ -578,6 +585,7 @@
                 out.push(AgentAction::AnnounceOwner {
                     to: balancer.address,
                     flow,
+                    owner: self.local_address(),
                 });
             }
         }
@@ -624,27 +632,40 @@
 
     /// Forwards a packet to the agent that registered its flow. That agent counts as visited from then on,
     /// so that registrations of two agents that name each other cannot send the packet back and forth.
-    /// A packet of an agent that is lost returns to its balancer without a search.
+    /// A packet of an agent that is lost returns to its balancer without a search. The balancer is told of an
+    /// owner that was stopped as planned and cannot announce itself: otherwise each packet would visit other
+    /// upstreams on its way here.
     fn forward_to_owner(
         &self,
         now: TimeMs,
         owner: SocketAddr,
         mut search: Search,
+        segment: &Segment,
         packet: Option<Vec<u8>>,
-    ) -> AgentAction {
-        if self.gossip.view().is_lost(now, owner) {
-            return AgentAction::ReturnOwnerLost {
+        out: &mut Vec<AgentAction>,
+    ) {
+        let view = self.gossip.view();
+        if view.is_lost(now, owner) {
+            out.push(AgentAction::ReturnOwnerLost {
                 search,
                 owner,
                 packet,
-            };
+            });
+            return;
+        }
+        if view.is_stopped(owner) {
+            out.push(AgentAction::AnnounceOwner {
+                to: search.balancer,
+                flow: segment.flow,
+                owner,
+            });
         }
         search.visited.push(owner);
-        AgentAction::ForwardToAgent {
+        out.push(AgentAction::ForwardToAgent {
             to: owner,
             search,
             packet,
-        }
+        });
     }
 
     fn local_address(&self) -> SocketAddr {
@@ -694,7 +715,7 @@
             search.visited.push(local_address);
         }
         if let Some(owner) = self.registered_owner(&search, segment) {
-            out.push(self.forward_to_owner(now, owner, search, packet));
+            self.forward_to_owner(now, owner, search, segment, packet, out);
             return;
         }
         let next = self
@@ -840,11 +861,15 @@
         if !published.is_some_and(|published| published.is_same_state(&status)) {
             out.push(AgentAction::StatusChanged(status.clone()));
         }
-        self.handle_gossip(
-            now,
-            GossipEvent::LocalRoleChanged(PeerRole::Agent(status)),
-            out,
-        );
+        // Without a living upstream there is nothing to wait for: callers get a reset once the agent is
+        // unreachable.
+        let may_serve_on = self.phase != Phase::Gone && self.upstream.is_alive(now);
+        let role = if self.is_stopping && may_serve_on {
+            PeerRole::StoppedAgent(status)
+        } else {
+            PeerRole::Agent(status)
+        };
+        self.handle_gossip(now, GossipEvent::LocalRoleChanged(role), out);
     }
 
     fn measure_load(&mut self) {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -6,7 +6,7 @@
 
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
-    ConfigurationVersion, DurationMs, NodeId, Phase, ResultCode, ServiceName, TimeMs,
+    ConfigurationVersion, DurationMs, NodeId, ResultCode, ServiceName, TimeMs,
 };
 
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
@@ -534,10 +534,12 @@
         }
         let cached = self.cached_owner(now, segment);
         let owner = cached.and_then(|cached| cached.owner);
-        let is_announced = cached.is_some_and(|cached| cached.is_announced);
+        // Nobody else has the flow of an agent that was stopped as planned.
+        let is_stopped = owner.is_some_and(|owner| self.gossip.view().is_stopped(owner));
+        let is_certain = is_stopped || cached.is_some_and(|cached| cached.is_announced);
         let likely_owner = owner.or_else(|| self.next_agent(now, segment, &search));
         let start = match retransmissions {
-            _ if is_announced => owner,
+            _ if is_certain => owner,
             0 => likely_owner,
             1 => {
                 // The search that began at the likely owner reached the first registrar next.
@@ -638,7 +640,7 @@
     }
 
     /// Ends a query that all reachable agents answered. The flow is to be reset only if every agent that
-    /// may own it answered or is unreachable; the directory names them all, since agents accept no new
+    /// may own it answered or is unreachable, and none was stopped as planned; the directory names them all, since agents accept no new
     /// flows before they are registered, unless the platform store has lost entries. If at most half of
     /// the agents answered, the fault may be in the balancer's network.
     fn end_query(&mut self, now: TimeMs, flow: FlowKey) -> QueryResult {
@@ -647,6 +649,7 @@
         };
         let may_reset = self.is_directory_read
             && now >= self.directory_incomplete_until
+            && !self.gossip.view().has_stopped_agents()
             && query.answered * 2 > self.gossip.view().agents().count();
         match query.acknowledged {
             Some(acknowledged) if may_reset => QueryResult::Ended { acknowledged },
@@ -704,18 +707,14 @@
         view.next_agent(now, AgentQuery::for_packet(search, segment))
     }
 
-    /// Returns the cached flow of a packet if its owner is known and reachable.
+    /// Returns the cached flow of a packet if its owner is known, and reachable or stopped as planned.
     fn cached_owner(&mut self, now: TimeMs, segment: &Segment) -> Option<CachedFlow> {
         let cached = self.cached_flows.get_mut(&segment.flow)?;
         cached.last_packet = now;
         let cached = *cached;
         let owner = cached.owner?;
         let view = self.gossip.view();
-        let is_gone = view
-            .find(owner)
-            .and_then(Peer::agent)
-            .is_none_or(|status| status.phase == Phase::Gone);
-        if is_gone || view.is_unreachable(now, owner) {
+        if view.find(owner).is_none() || view.is_lost(now, owner) {
             self.forget_owner(&segment.flow);
             return None;
         }
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -34,6 +34,9 @@
 /// Balancers that are notified of a local state change at once; the others get it by gossip.
 const MAX_NOTIFIED_BALANCERS: usize = 64;
 
+/// Processes that an agent notifies of its planned stop at once.
+const MAX_NOTIFIED_OF_STOP: usize = 256;
+
 /// Time over which a process counts the peers that sent it a message. In it, a process normally gets
 /// answers to twelve probes and as many probes of others.
 const CONTACT_WINDOW_MS: DurationMs = DurationMs(1_000);
@@ -363,7 +366,8 @@
         self.send(now, to, requested_reply, Scope::Updates, out);
     }
 
-    /// Stores the local role. Sends a change of state, but not of load, to balancers at once.
+    /// Stores the local role. Sends a change of state, but not of load, to balancers at once, and a planned
+    /// stop to all processes: this one sends no gossip after it.
     fn update_local_role(&mut self, now: TimeMs, role: PeerRole, out: &mut Vec<GossipAction>) {
         let is_same = self.local_peer.role.is_same_state(&role);
         self.local_peer.role = role;
@@ -372,12 +376,18 @@
         }
         self.increment_heartbeat(now);
         let local_address = self.local_peer.address;
-        let balancers = self.view.reachable_balancers(now).map(|peer| peer.address);
-        let balancers: Vec<_> = balancers
-            .filter(|address| *address != local_address)
-            .collect();
-        let notified: Vec<_> = balancers
-            .choose_multiple(&mut self.random, MAX_NOTIFIED_BALANCERS)
+        let is_stop = self.local_peer.is_stopped_agent();
+        let max_notified = if is_stop {
+            MAX_NOTIFIED_OF_STOP
+        } else {
+            MAX_NOTIFIED_BALANCERS
+        };
+        let peers = self.view.reachable_peers(now);
+        let peers = peers.filter(|peer| is_stop || peer.balancer().is_some());
+        let peers = peers.map(|peer| peer.address);
+        let peers: Vec<_> = peers.filter(|address| *address != local_address).collect();
+        let notified: Vec<_> = peers
+            .choose_multiple(&mut self.random, max_notified)
             .copied()
             .collect();
         for to in notified {
@@ -486,7 +496,9 @@
         let local_address = self.local_peer.address;
         let is_sendable = |entry: &PeerEntry| {
             let is_other = ![local_address, to].contains(&entry.peer.address);
-            is_other && entry.is_confirmed && !entry.is_unreachable(now)
+            // Others cannot learn of a planned stop from the agent itself.
+            let is_known = !entry.is_unreachable(now) || entry.peer.is_stopped_agent();
+            is_other && entry.is_confirmed && is_known
         };
         let entries = self.view.entries();
         let mut updates: Vec<_> = entries
--- a/crates/opaque/src/peer.rs
+++ b/crates/opaque/src/peer.rs
@@ -54,7 +54,10 @@
     pub(crate) fn is_same_state(&self, other: &Self) -> bool {
         match (self, other) {
             (Self::Balancer(status), Self::Balancer(other)) => status == other,
-            (Self::Agent(status), Self::Agent(other)) => status.is_same_state(other),
+            (Self::Agent(status), Self::Agent(other))
+            | (Self::StoppedAgent(status), Self::StoppedAgent(other)) => {
+                status.is_same_state(other)
+            }
             _ => false,
         }
     }
@@ -84,6 +87,9 @@
     Balancer(BalancerStatus),
     /// Delivers packets to the upstream on its VM.
     Agent(AgentStatus),
+    /// An agent that was stopped as planned. Its upstream may serve its flows for longer, which nobody can ask
+    /// until the agent is back. Never in the directory.
+    StoppedAgent(AgentStatus),
 }
 
 /// Record of a process of the deployment.
@@ -105,16 +111,21 @@
     /// Returns the status, if the peer is an agent.
     pub const fn agent(&self) -> Option<&AgentStatus> {
         match &self.role {
-            PeerRole::Agent(status) => Some(status),
+            PeerRole::Agent(status) | PeerRole::StoppedAgent(status) => Some(status),
             PeerRole::Balancer(_) => None,
         }
     }
 
+    /// Returns whether the peer is an agent that was stopped as planned.
+    pub(crate) const fn is_stopped_agent(&self) -> bool {
+        matches!(self.role, PeerRole::StoppedAgent(_))
+    }
+
     /// Returns the status, if the peer is a balancer.
     pub const fn balancer(&self) -> Option<&BalancerStatus> {
         match &self.role {
             PeerRole::Balancer(status) => Some(status),
-            PeerRole::Agent(_) => None,
+            PeerRole::Agent(_) | PeerRole::StoppedAgent(_) => None,
         }
     }
 
@@ -124,7 +135,9 @@
     pub fn directory_entry(&self) -> Self {
         let role = match &self.role {
             PeerRole::Balancer(_) => PeerRole::Balancer(BalancerStatus::default()),
-            agent @ PeerRole::Agent(_) => agent.clone(),
+            PeerRole::Agent(status) | PeerRole::StoppedAgent(status) => {
+                PeerRole::Agent(status.clone())
+            }
         };
         Self {
             incarnation: Incarnation(0),
--- a/crates/opaque/src/upstream.rs
+++ b/crates/opaque/src/upstream.rs
@@ -141,6 +141,12 @@
         self.is_dead
     }
 
+    /// Returns whether the upstream sends heartbeats, and its address has refused no connection since
+    /// the last one.
+    pub(crate) fn is_alive(&self, now: TimeMs) -> bool {
+        !self.is_dead && !self.is_silent(now)
+    }
+
     /// Records a refused probe; returns whether the upstream counts as dead.
     pub(crate) const fn mark_dead(&mut self) -> bool {
         // The upstream may have become active since the probe was sent.
@@ -248,10 +254,7 @@
     /// Returns the weight for new flows: none for an unresponsive upstream, and little for one that
     /// fails requests, whatever its heartbeats report.
     pub(crate) fn weight(&self, now: TimeMs) -> Weight {
-        if self.is_dead
-            || self.is_silent(now)
-            || self.unanswered_openings >= MAX_UNANSWERED_OPENINGS
-        {
+        if !self.is_alive(now) || self.unanswered_openings >= MAX_UNANSWERED_OPENINGS {
             Weight::NONE
         } else if self.failure_rate >= FAILING_THRESHOLD {
             RECOVERY_WEIGHT
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -192,10 +192,11 @@
         SuspicionOutcome::Unconfirmed
     }
 
-    /// Returns the status if the peer is a reachable agent that has not left.
+    /// Returns the status if the peer is a reachable agent that has neither stopped nor left.
     fn reachable_agent(&self, now: TimeMs) -> Option<&AgentStatus> {
         let status = self.peer.agent()?;
-        (!self.is_unreachable(now) && status.phase != Phase::Gone).then_some(status)
+        let is_running = !self.peer.is_stopped_agent() && !self.is_unreachable(now);
+        (is_running && status.phase != Phase::Gone).then_some(status)
     }
 }
 
@@ -228,11 +229,15 @@
         index.is_ok_and(|index| self.peers[index].unanswered_probes < MAX_UNANSWERED_PROBES)
     }
 
-    pub fn reachable_balancers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
+    pub(crate) fn reachable_peers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
         self.peers
             .iter()
             .filter(move |entry| !entry.is_unreachable(now))
             .map(|entry| &entry.peer)
+    }
+
+    pub fn reachable_balancers(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
+        self.reachable_peers(now)
             .filter(|peer| peer.balancer().is_some())
     }
 
@@ -394,10 +399,23 @@
     }
 
     /// Returns whether the agent at `address` has left or is unreachable. One that is not known yet may have
-    /// just joined.
+    /// just joined, and the upstream of one that was stopped as planned may still serve.
     pub(crate) fn is_lost(&self, now: TimeMs, address: SocketAddr) -> bool {
-        let index = self.index(address);
-        index.is_ok_and(|index| self.peers[index].reachable_agent(now).is_none())
+        let Ok(index) = self.index(address) else {
+            return false;
+        };
+        let entry = &self.peers[index];
+        !entry.peer.is_stopped_agent() && entry.reachable_agent(now).is_none()
+    }
+
+    /// Returns whether the agent at `address` was stopped as planned.
+    pub(crate) fn is_stopped(&self, address: SocketAddr) -> bool {
+        self.find(address).is_some_and(Peer::is_stopped_agent)
+    }
+
+    /// Returns whether an agent was stopped as planned: its upstream may own flows that nobody knows.
+    pub(crate) fn has_stopped_agents(&self) -> bool {
+        self.peers().any(Peer::is_stopped_agent)
     }
 
     /// Returns the next agent to which a packet of the flow is sent.
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -588,11 +588,8 @@
                 AgentAction::AnswerNotOwned { to, flow } => {
                     transits.push(Transit::NotOwned(local_address, to, flow));
                 }
-                AgentAction::AnnounceOwner { to, flow } => {
-                    let message = PeerMessage::FlowOwner {
-                        flow,
-                        owner: local_address,
-                    };
+                AgentAction::AnnounceOwner { to, flow, owner } => {
+                    let message = PeerMessage::FlowOwner { flow, owner };
                     transits.push(Transit::Message(local_address, to, message));
                 }
                 AgentAction::RegisterFlows { to, flows } => {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -85,7 +85,6 @@
     buffer: Mutex<Vec<u8>>,
     output: UdpSocket,
     peers: UdpSocket,
-    local_address: SocketAddr,
     service: ServiceName,
     upstream_address: SocketAddr,
     caller_port: u16,
@@ -122,7 +121,6 @@
             buffer: Mutex::new(Vec::new()),
             output: bind(options.upstream_output_address).await?,
             peers: bind(process.peer_address).await?,
-            local_address: process.peer_address,
             service: options.service.clone(),
             upstream_address: options.upstream_address,
             caller_port: options.caller_port,
@@ -321,8 +319,7 @@
                 let message = PeerMessage::NotOwned { flow };
                 send_message(&self.peers, to, &message, &[], buffer);
             }
-            AgentAction::AnnounceOwner { to, flow } => {
-                let owner = self.local_address;
+            AgentAction::AnnounceOwner { to, flow, owner } => {
                 let message = PeerMessage::FlowOwner { flow, owner };
                 send_message(&self.peers, to, &message, &[], buffer);
             }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -112,12 +112,13 @@
             is_watching = status.is_watching;
             "relay: Balancer discovered or changed."
         ),
-        PeerRole::Agent(status) => log::info!(
+        PeerRole::Agent(status) | PeerRole::StoppedAgent(status) => log::info!(
             peer:% = peer.address,
             incarnation:% = peer.incarnation,
             failure_domain:% = peer.failure_domain,
             service:% = status.service,
             phase:% = status.phase,
+            is_stopped = matches!(peer.role, PeerRole::StoppedAgent(_)),
             weight:% = status.weight,
             load:% = status.load;
             "relay: Agent discovered or changed."
