Add planned work to the soak

New mix `planned`: upstreams that drain, deregister and leave, SIGTERM and restart of agents beside draining and serving upstreams, restarts of balancers, reloads, in series and overlapping. No open flow may be reset while its upstream runs, whatever planned work is on its path. The schedules of the other mixes are unchanged.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -20,7 +20,11 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Opens flows and sends requests on them until the task is aborted.
+/// Time in which the last packet of a flow reaches its upstream.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
+/// Opens flows and sends requests on them until the task is aborted. While there is only planned work, every
+/// other flow that ended in order is followed by one from the same port.
 pub(crate) async fn run(
     number: u8,
     address: SocketAddr,
@@ -36,9 +40,17 @@
             return;
         }
     };
+    let mut is_port_used_again = false;
+    let mut service = 0;
     for flow_number in 0u64.. {
-        let service = random.random_range(0..2);
-        let Ok(mut flow) = caller.open(service_address(service)).await else {
+        let opened = if is_port_used_again {
+            caller.open_again(service_address(service)).await
+        } else {
+            service = random.random_range(0..2);
+            caller.open(service_address(service)).await
+        };
+        is_port_used_again = false;
+        let Ok(mut flow) = opened else {
             record.count_failed();
             sleep(Duration::from_millis(100)).await;
             continue;
@@ -54,6 +66,7 @@
             let result = caller.call(&mut flow, &text, CALL_TIMEOUT).await;
             let has_failed = result.is_err();
             history.check_result(&record, &router, &text, result, sent_at);
+            is_port_used_again = !has_failed && record.is_planned_work() && flow_number % 2 == 0;
             if has_failed {
                 break;
             }
@@ -61,6 +74,9 @@
             sleep(Duration::from_millis(pause_ms)).await;
         }
         caller.close(&flow);
+        if is_port_used_again {
+            sleep(CLOSE_TIME).await;
+        }
     }
 }
 
@@ -113,8 +129,8 @@
         }
     }
 
-    /// Records a violation unless a fault was injected on the path of the flow, or the request
-    /// timed out within `SETTLE_TIME`.
+    /// Records a violation unless a fault was injected on the path of the flow, its upstream stopped, or the
+    /// request timed out within `SETTLE_TIME`.
     fn check_failure(
         &self,
         record: &RunRecord,
@@ -132,17 +148,20 @@
         let agent = format!("agent-{number}");
         let balancer = router.choose(&self.key).map(Deployment::balancer_name);
         let balancer = balancer.unwrap_or_default();
-        let is_undisturbed = record.is_undisturbed(upstream)
-            && record.is_undisturbed(&agent)
+        let is_path_undisturbed = record.is_undisturbed(&agent)
             && record.is_undisturbed(&balancer)
             && record.is_undisturbed("router");
-        let waited = sent_at.elapsed();
-        if !is_undisturbed || (error == CallError::Timeout && waited < SETTLE_TIME) {
+        let is_guaranteed = match error {
+            // Planned work on the path of a flow is no reason to reset it.
+            CallError::Reset => record.is_planned_work() || is_path_undisturbed,
+            CallError::Timeout => is_path_undisturbed && sent_at.elapsed() >= SETTLE_TIME,
+        };
+        if !is_guaranteed || !record.is_undisturbed(upstream) {
             return;
         }
         let age = self.opened_at.elapsed().as_secs_f64();
         record.record_violation(format!(
-            "{}: {error:?} at request {request} although {upstream}, {agent} and {balancer} were undisturbed, flow age {age:.1} s",
+            "{}: {error:?} at request {request} of {upstream} through {agent} and {balancer}, undisturbed: {is_path_undisturbed}, flow age {age:.1} s",
             self.key
         ));
     }
--- a/soak/src/cli.rs
+++ b/soak/src/cli.rs
@@ -12,6 +12,8 @@
     /// Route changes before and after the store fails for all balancers but one, with other faults at
     /// the same time.
     Configuration,
+    /// Planned work only: no open flow may be reset while its upstream runs. Callers use ports again.
+    Planned,
 }
 
 /// Runs balancers and agents as processes, injects random faults, and checks what simulated callers
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -27,6 +27,10 @@
     CrashUpstream(usize),
     /// Drains an upstream, stops it and starts a new incarnation.
     ReplaceUpstream(usize),
+    /// Shuts an agent down by SIGTERM and restarts it; its upstream continues.
+    TerminateAgent(usize),
+    /// Drains an upstream, which deregisters and stops, and starts a new incarnation.
+    RetireUpstream(usize),
     /// Kills and restarts all balancers and agents at once.
     KillAll,
     /// Sends SIGHUP to all processes.
@@ -73,6 +77,7 @@
     match mix {
         FaultMix::All => plan_all(random, run, balancers, agents),
         FaultMix::Configuration => plan_configuration(random, run, balancers, agents),
+        FaultMix::Planned => plan_planned_work(random, run, balancers, agents),
     }
 }
 
@@ -148,6 +153,50 @@
     faults
 }
 
+/// Plans drains of upstreams, with restarts of their agents and of other processes at the same time.
+fn plan_planned_work(
+    random: &mut ChaCha8Rng,
+    run: Duration,
+    balancers: usize,
+    agents: usize,
+) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < run {
+        let agent = random.random_range(0..agents);
+        let other = random.random_range(0..agents);
+        let balancer = random.random_range(0..balancers);
+        // Time in which the platform starts a terminated process again.
+        let duration = random_ms(random, 300..1_500);
+        let mut plan = |delay_ms, fault| {
+            let at = at + Duration::from_millis(delay_ms);
+            faults.push(PlannedFault {
+                at,
+                duration,
+                fault,
+            });
+        };
+        match random.random_range(0..8) {
+            0..=3 => {
+                plan(0, Fault::RetireUpstream(agent));
+                plan(
+                    random.random_range(100..2_000),
+                    Fault::TerminateAgent(agent),
+                );
+                plan(
+                    random.random_range(1_000..5_000),
+                    Fault::TerminateAgent(other),
+                );
+            }
+            4..=5 => plan(random.random_range(0..2_000), Fault::TerminateAgent(other)),
+            6 => plan(0, Fault::TerminateBalancer(balancer)),
+            _ => plan(0, Fault::ReloadAll),
+        }
+        at += random_ms(random, 300..2_500);
+    }
+    faults
+}
+
 fn random_ms(random: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range))
 }
@@ -163,7 +212,9 @@
             | Fault::SilenceStoreConnections
             | Fault::RestoreStore { .. }
             | Fault::ChangeRoute => {}
-            Fault::KillBalancer(_)
+            Fault::TerminateAgent(_)
+            | Fault::RetireUpstream(_)
+            | Fault::KillBalancer(_)
             | Fault::TerminateBalancer(_)
             | Fault::PauseBalancer(_)
             | Fault::KillAgent(_)
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -36,6 +36,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    is_terminated: bool,
 }
 
 impl Process {
@@ -56,6 +57,7 @@
             settings: path,
             log: directory.join(format!("{name}.log")),
             child: None,
+            is_terminated: false,
         };
         process.start()?;
         Ok(process)
@@ -78,6 +80,7 @@
             .spawn()
             .with_context(|| format!("cannot start {}", self.binary.display()))?;
         self.child = Some(child);
+        self.is_terminated = false;
         Ok(())
     }
 
@@ -94,6 +97,7 @@
             .arg(child.id().to_string())
             .status()?;
         anyhow::ensure!(status.success(), "kill -{} {}", signal.name(), child.id());
+        self.is_terminated |= matches!(signal, Signal::Terminate);
         Ok(())
     }
 
@@ -102,6 +106,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Returns whether the process got a signal to terminate and is still running.
+    pub(crate) fn is_terminating(&mut self) -> bool {
+        self.is_terminated && self.is_running()
+    }
+
     /// Returns whether the process is running; reaps it if it has exited.
     pub(crate) fn is_running(&mut self) -> bool {
         let Some(child) = &mut self.child else {
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -11,6 +11,8 @@
 #[derive(Debug)]
 pub(crate) struct RunRecord {
     started_at: Instant,
+    /// The run has no faults, only planned work.
+    is_planned_work: bool,
     state: Mutex<State>,
 }
 
@@ -26,13 +28,18 @@
 }
 
 impl RunRecord {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(is_planned_work: bool) -> Self {
         Self {
             started_at: Instant::now(),
+            is_planned_work,
             state: Mutex::default(),
         }
     }
 
+    pub(crate) const fn is_planned_work(&self) -> bool {
+        self.is_planned_work
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::callers;
-use crate::cli::Cli;
+use crate::cli::{Cli, FaultMix};
 use crate::deployment::{Deployment, EXTRA_SERVICE, extra_address};
 use crate::faults::{Fault, PlannedFault, plan_faults};
 use crate::process::Signal;
@@ -87,7 +87,7 @@
 pub(crate) async fn run(cli: &Cli) -> anyhow::Result<usize> {
     let directory = directory(cli)?;
     println!("soak: seed {}, logs in {}", cli.seed, directory.display());
-    let record = Arc::new(RunRecord::new());
+    let record = Arc::new(RunRecord::new(cli.mix == FaultMix::Planned));
     let deployment = Deployment::spawn(cli, &directory).await?;
     wait_until_ready(&deployment, cli).await?;
     let mut random = ChaCha8Rng::seed_from_u64(cli.seed);
@@ -246,8 +246,13 @@
                 agent.signal(if is_kill { Signal::Kill } else { Signal::Stop })?;
                 duration = if is_kill { RESTART_PAUSE } else { duration };
             }
+            Fault::TerminateAgent(index) => {
+                let agent = &mut self.deployment.agents[index].process;
+                record.begin_disturbance(&agent.name);
+                agent.signal(Signal::Terminate)?;
+            }
             Fault::CrashUpstream(index) => self.stop_upstream(index),
-            Fault::ReplaceUpstream(index) => {
+            Fault::ReplaceUpstream(index) | Fault::RetireUpstream(index) => {
                 if let Some(upstream) = &self.deployment.agents[index].upstream {
                     upstream.drain();
                 }
@@ -317,7 +322,27 @@
                 agent.start()?;
                 record.end_disturbance(&agent.name);
             }
+            Fault::TerminateAgent(index) => {
+                while self.deployment.agents[index].process.is_terminating() {
+                    sleep(POLL_INTERVAL).await;
+                }
+                let agent = &mut self.deployment.agents[index].process;
+                agent.start()?;
+                record.end_disturbance(&agent.name);
+            }
             Fault::CrashUpstream(index) => self.start_upstream(index).await?,
+            Fault::RetireUpstream(index) => {
+                let vm = &self.deployment.agents[index];
+                if let Some(upstream) = &vm.upstream {
+                    // Its flows end with it from here on.
+                    record.begin_disturbance(&vm.upstream_name(vm.incarnations()));
+                    // The agent may be away; the upstream exits anyway.
+                    let status = upstream.deregister().await;
+                    record.print(&format!("deregistration answered with {status:?}"));
+                }
+                self.stop_upstream(index);
+                self.start_upstream(index).await?;
+            }
             Fault::ReplaceUpstream(index) => {
                 self.stop_upstream(index);
                 self.start_upstream(index).await?;
--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -100,6 +100,18 @@
     expect_that!(restores, ge(3), "{text}");
 }
 
+// Planned work must reset no flow of a running upstream, and callers may use ports again.
+#[gtest]
+fn no_flow_is_reset_by_planned_work() {
+    let text = expect_no_violation(Run {
+        seed: 11,
+        seconds: 15,
+        mix: "planned",
+        balancers: 3,
+    });
+    expect_that!(text.matches("TerminateAgent").count(), ge(3), "{text}");
+}
+
 // Failures that the soak found in the past must not return.
 #[gtest]
 fn guarantees_hold_with_seeds_of_former_failures() {
