Test random sequences of planned work; say who may end an open flow

planned_work.rs draws sequences of openings from used ports, closings, drains, departures and new incarnations of upstreams, planned stops and starts of agents and restarts of balancers in the simulated fleet.

Incomplete heartbeats are the parser's matter, which the fleet does not have.

--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -122,6 +122,12 @@
     /// Initial sequence number of each accepted flow, and whether the caller completed the handshake.
     pub flows: BTreeMap<FlowKey, (u32, bool)>,
     pub takes_new_flows: bool,
+    /// Start time that its heartbeats report.
+    pub born_ms: u64,
+    /// Its heartbeats report a drain. Otherwise they do while its agent believes that it drains.
+    pub is_draining: bool,
+    /// It has deregistered and sends no heartbeats.
+    pub has_left: bool,
     pub behaviour: Behaviour,
     /// Packets of established flows that the upstream received but does not own.
     pub stray_packets: usize,
@@ -268,6 +274,7 @@
     pub fn add_agent(&mut self, number: u8, service_number: u8) {
         let upstream = Upstream {
             takes_new_flows: true,
+            born_ms: 1,
             ..Upstream::default()
         };
         self.start_agent(number, service_number, upstream);
@@ -331,11 +338,8 @@
             let is_heartbeat = self.now.get().is_multiple_of(HEARTBEAT_MS);
             for number in self.agents.keys().copied().collect::<Vec<_>>() {
                 self.agent_event(number, AgentEvent::Tick, None);
-                let is_alive = self.agents[&number].upstream.behaviour != Behaviour::Dead;
-                if is_heartbeat && is_alive {
-                    let sequence = self.now.get();
-                    let event = AgentEvent::Report(report(1, sequence, self.is_draining(number)));
-                    self.agent_event(number, event, None);
+                if is_heartbeat {
+                    self.send_heartbeat(number);
                 }
                 if is_round {
                     self.agent_event(number, AgentEvent::Measure, None);
@@ -350,6 +354,17 @@
         }
     }
 
+    /// Sends a heartbeat of an upstream, if it is alive.
+    pub fn send_heartbeat(&mut self, number: u8) {
+        let upstream = &self.agents[&number].upstream;
+        if upstream.behaviour == Behaviour::Dead || upstream.has_left {
+            return;
+        }
+        let is_draining = upstream.is_draining || self.is_draining(number);
+        let report = report(upstream.born_ms, self.now.get(), is_draining);
+        self.agent_event(number, AgentEvent::Report(report), None);
+    }
+
     fn is_draining(&self, number: u8) -> bool {
         self.agents[&number].machine.phase() == Phase::Draining
     }
