Evacuate failure domains at the request of operators

Callers' requests reached the upstreams of an evacuated failure domain: nothing read the operator's entries in the platform store. The balancers that watch the configuration now watch them too, gossip carries the set, balancers place new flows elsewhere, and the agent of an upstream turns away what still arrives. Only where the setting "evacuations" asks for it.

--- a/crates/configuration/src/opaque_settings.rs
+++ b/crates/configuration/src/opaque_settings.rs
@@ -38,6 +38,8 @@
     pub data_address: SocketAddr,
     /// Longest time that the process drains before it ends.
     pub drain_limit_ms: DurationMs,
+    /// Whether operators evacuate failure domains through the platform store. Costs three watches.
+    pub has_evacuations: bool,
 }
 
 /// Settings of an agent for opaque flows.
@@ -85,10 +87,12 @@
         let process = OpaqueProcessSettings::read(root);
         let data_address = root.address("data_address");
         let drain_limit_ms = root.number("drain_limit_ms", 1..=MAX_DRAIN_MS);
+        let has_evacuations = root.flag("evacuations");
         Some(Self {
             process: process?,
             data_address: data_address?,
             drain_limit_ms: DurationMs(drain_limit_ms?),
+            has_evacuations,
         })
     }
 }
--- a/crates/configuration/src/section.rs
+++ b/crates/configuration/src/section.rs
@@ -90,6 +90,18 @@
         self.parse(name, &value.value, accepted)
     }
 
+    /// Reads a field that is true or false; false when absent.
+    pub(crate) fn flag(&self, name: &'static str) -> bool {
+        match self.find(name).map(|property| &property.value) {
+            None => false,
+            Some(Value::BooleanLit(flag)) => flag.value,
+            Some(value) => {
+                self.add(name, value, "true or false is accepted");
+                false
+            }
+        }
+    }
+
     /// Reads a required address; port 0 and unspecified or multicast addresses are problems.
     pub(crate) fn address(&self, name: &'static str) -> Option<SocketAddr> {
         let value = self.required(name, ADDRESS_RULE)?;
--- a/crates/configuration/tests/opaque_settings.rs
+++ b/crates/configuration/tests/opaque_settings.rs
@@ -36,6 +36,7 @@
         some(eq(7721))
     );
     expect_that!(settings.process.seed_addresses.len(), eq(1));
+    expect_false!(settings.has_evacuations);
     expect_that!(settings.process.log.format, eq(LogFormat::Json));
     expect_that!(settings.process.log.output, eq(LogOutput::Stdout));
 }
@@ -61,6 +62,10 @@
     for (text, field) in [
         (BALANCER.replace("\"opaque\"", "\"tcp\""), "flows"),
         (BALANCER.replace("5000", "0"), "drain_limit_ms"),
+        (
+            BALANCER.replace("\"log\"", "\"evacuations\": \"yes\", \"log\""),
+            "evacuations",
+        ),
         (BALANCER.replace("10.1.0.10:7720", "7720"), "peer_address"),
         (BALANCER.replace("\"stdout\"", "\"file\""), "log.output"),
         (AGENT.replace("770", "0"), "heartbeat_ms"),
@@ -85,7 +90,12 @@
 }
 
 /// Renders a template like the platform does; supports only what the templates in `deploy/` use.
-fn render(template: &str) -> String {
+fn render(template: &str, has_evacuate_bound: bool) -> String {
+    let (start, end) = ("{{#bounds.evacuateMs}}", "{{/bounds.evacuateMs}}");
+    let template = match (template.split_once(start), template.split_once(end)) {
+        (Some((before, _)), Some((_, after))) if !has_evacuate_bound => format!("{before}{after}"),
+        _ => template.replace(start, "").replace(end, ""),
+    };
     let seeds = "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}";
     let mut text = template.replace(seeds, "\"10.1.0.10:8166\",\"10.2.0.40:8166\"");
     for (name, value) in [
@@ -111,11 +121,18 @@
 #[gtest]
 fn templates_render_to_valid_settings() {
     let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
-    for name in ["balancer.jsonc", "agent.jsonc"] {
+    for (name, has_evacuate_bound) in [
+        ("balancer.jsonc", false),
+        ("balancer.jsonc", true),
+        ("agent.jsonc", false),
+    ] {
         let template = std::fs::read_to_string(deploy.join(name)).unwrap();
-        let text = render(&template);
+        let text = render(&template, has_evacuate_bound);
         expect_that!(text, not(contains_substring("{{")));
         let settings = check_settings(&text, name);
-        expect_that!(settings.is_ok(), eq(true), "{name}: {:?}", settings.err());
+        expect_that!(settings.is_ok(), eq(true), "{name}: {settings:?}");
+        if let Ok(Settings::OpaqueBalancer(settings)) = settings {
+            expect_that!(settings.has_evacuations, eq(has_evacuate_bound));
+        }
     }
 }
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -846,7 +846,9 @@
     }
 
     fn accepts_new_flows(&self) -> bool {
-        self.phase == Phase::Serving
+        let evacuations = self.gossip.view().evacuations();
+        let is_evacuated = evacuations.contains(&self.gossip.local_peer().failure_domain);
+        self.phase == Phase::Serving && !is_evacuated
     }
 
     /// Updates the status that is published by gossip.
--- a/crates/opaque/src/gossip.rs
+++ b/crates/opaque/src/gossip.rs
@@ -17,6 +17,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
+use crate::evacuation::Evacuations;
 use crate::message::{Gossip, PeerMessage, PeerUpdate, ReplyKind};
 use crate::peer::{Peer, PeerRole};
 use crate::view::{MergeOutcome, PeerEntry, PeerView, SuspicionOutcome};
@@ -85,6 +86,8 @@
     Seeds(Vec<SocketAddr>),
     /// The role or state of the local process changed.
     LocalRoleChanged(PeerRole),
+    /// The platform store listed the evacuated failure domains.
+    EvacuationsRead(Evacuations),
 }
 
 /// Output action of the state machine.
@@ -100,6 +103,8 @@
     PeerUnreachable(SocketAddr),
     /// The local process was cut off from all others, or hears from them again.
     IsolationChanged { is_isolated: bool },
+    /// Failure domains were evacuated, or an evacuation ended.
+    EvacuationsChanged(Evacuations),
 }
 
 /// Peer records that a message carries besides that of its sender.
@@ -184,6 +189,11 @@
             }
             GossipEvent::Seeds(seeds) => self.seeds = seeds,
             GossipEvent::LocalRoleChanged(role) => self.update_local_role(now, role, out),
+            GossipEvent::EvacuationsRead(evacuations) => {
+                if self.merge_evacuations(evacuations, out) {
+                    self.spread_evacuations(now, out);
+                }
+            }
         }
     }
 
@@ -195,6 +205,9 @@
         out: &mut Vec<GossipAction>,
     ) {
         let sender_incarnation = gossip.sender.incarnation;
+        if let Some(evacuations) = gossip.evacuations {
+            self.merge_evacuations(evacuations, out);
+        }
         self.merge(now, gossip.sender, Some(now), out);
         for update in gossip.updates {
             self.merge(now, update.peer, Some(now - update.age_ms), out);
@@ -395,6 +408,31 @@
         }
     }
 
+    /// Takes over the evacuated failure domains if they are newer than the known ones; returns whether they
+    /// changed.
+    fn merge_evacuations(&mut self, evacuations: Evacuations, out: &mut Vec<GossipAction>) -> bool {
+        let is_changed = self.view.merge_evacuations(evacuations);
+        if is_changed {
+            let evacuations = self.view.evacuations().clone();
+            out.push(GossipAction::EvacuationsChanged(evacuations));
+        }
+        is_changed
+    }
+
+    /// Sends changed evacuations to some processes at once, from which the others hear in the next rounds.
+    fn spread_evacuations(&mut self, now: TimeMs, out: &mut Vec<GossipAction>) {
+        let local_address = self.local_peer.address;
+        let peers = self.view.reachable_peers(now).map(|peer| peer.address);
+        let peers: Vec<_> = peers.filter(|address| *address != local_address).collect();
+        let notified: Vec<_> = peers
+            .choose_multiple(&mut self.random, MAX_NOTIFIED_BALANCERS)
+            .copied()
+            .collect();
+        for to in notified {
+            self.push_message(to, ReplyKind::Nothing, Vec::new(), Vec::new(), out);
+        }
+    }
+
     fn increment_heartbeat(&mut self, now: TimeMs) {
         self.local_peer.heartbeat_counter += 1;
         self.view.merge(now, self.local_peer.clone(), Some(now));
@@ -471,6 +509,7 @@
             sender: self.local_peer.clone(),
             updates,
             suspected,
+            evacuations: self.view.known_evacuations(),
         });
         out.push(GossipAction::Send { to, message });
     }
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod balancer;
 mod class;
+mod evacuation;
 mod flow_table;
 mod gossip;
 mod message;
@@ -25,6 +26,7 @@
 pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions};
 pub use balancer::{BalancerDecision, BalancerMachine, ConfigurationTask, QueryPart, QueryResult};
 pub use class::RequestClass;
+pub use evacuation::{Evacuations, MAX_EVACUATED_DOMAINS};
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{
     Gossip, MessageError, PeerMessage, PeerUpdate, ReplyKind, Search, decode, encode,
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::class::RequestClass;
+use crate::evacuation::Evacuations;
 use crate::peer::Peer;
 use crate::placement::DomainTag;
 
@@ -98,6 +99,10 @@
     pub updates: Vec<PeerUpdate>,
     /// Peers that the sender suspects; the receiver is asked to probe them.
     pub suspected: Vec<SocketAddr>,
+    /// Evacuated failure domains, if the sender knows them. Encoded after the message, where earlier
+    /// versions ignore it.
+    #[serde(skip)]
+    pub evacuations: Option<Evacuations>,
 }
 
 /// Error of encoding or decoding a message.
@@ -118,6 +123,12 @@
     let mut written = std::mem::take(buffer);
     written.clear();
     written = postcard::to_extend(message, written).map_err(|_| MessageError::Unencodable)?;
+    if let PeerMessage::Gossip(gossip) = message
+        && let Some(evacuations) = &gossip.evacuations
+    {
+        written =
+            postcard::to_extend(evacuations, written).map_err(|_| MessageError::Unencodable)?;
+    }
     written.extend_from_slice(packet);
     *buffer = written;
     Ok(())
@@ -125,5 +136,18 @@
 
 /// Decodes a message and returns it with the packet that follows it.
 pub fn decode(datagram: &[u8]) -> Result<(PeerMessage, &[u8]), MessageError> {
-    postcard::take_from_bytes(datagram).map_err(|_| MessageError::Malformed)
+    let (mut message, mut rest) =
+        postcard::take_from_bytes(datagram).map_err(|_| MessageError::Malformed)?;
+    if let PeerMessage::Gossip(gossip) = &mut message
+        && !rest.is_empty()
+    {
+        let evacuations: Evacuations;
+        (evacuations, rest) =
+            postcard::take_from_bytes(rest).map_err(|_| MessageError::Malformed)?;
+        if !evacuations.is_valid() {
+            return Err(MessageError::Malformed);
+        }
+        gossip.evacuations = Some(evacuations);
+    }
+    Ok((message, rest))
 }
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use hawthorntide_routing::FlowKey;
-use hawthorntide_types::{DurationMs, Incarnation, Phase, ServiceName, TimeMs};
+use hawthorntide_types::{DurationMs, Incarnation, Phase, ServiceName, TimeMs, Version};
 
+use crate::evacuation::Evacuations;
 use crate::message::Search;
 use crate::peer::{AgentStatus, FREE_LOAD, Peer};
 use crate::placement::{DomainTag, rank};
@@ -81,6 +82,8 @@
     indirect_probe_requester: Option<SocketAddr>,
     /// When another process last suspected the peer, without contact since.
     reported_at: Option<TimeMs>,
+    /// The failure domain of the peer is evacuated.
+    is_evacuated: bool,
 }
 
 /// How to handle another process's suspicion of a peer.
@@ -109,6 +112,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerView {
     peers: Vec<PeerEntry>,
+    evacuations: Evacuations,
 }
 
 impl<'a> AgentQuery<'a> {
@@ -198,6 +202,12 @@
         let is_running = !self.peer.is_stopped_agent() && !self.is_unreachable(now);
         (is_running && status.phase != Phase::Gone).then_some(status)
     }
+
+    /// Returns the status if the peer is a reachable agent that may get new flows by its failure domain.
+    fn eligible_agent(&self, now: TimeMs) -> Option<&AgentStatus> {
+        let status = self.reachable_agent(now)?;
+        (!self.is_evacuated).then_some(status)
+    }
 }
 
 impl PeerView {
@@ -206,6 +216,27 @@
         self.peers.iter().map(|entry| &entry.peer)
     }
 
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the evacuated failure domains, or `None` if the store was not asked for them.
+    pub(crate) fn known_evacuations(&self) -> Option<Evacuations> {
+        let is_known = self.evacuations.version() != Version::NONE;
+        is_known.then(|| self.evacuations.clone())
+    }
+
+    /// Takes over the evacuated failure domains if they are newer; returns whether they changed.
+    pub(crate) fn merge_evacuations(&mut self, evacuations: Evacuations) -> bool {
+        let is_changed = self.evacuations.merge(evacuations);
+        if is_changed {
+            for entry in &mut self.peers {
+                entry.is_evacuated = self.evacuations.contains(&entry.peer.failure_domain);
+            }
+        }
+        is_changed
+    }
+
     pub fn find(&self, address: SocketAddr) -> Option<&Peer> {
         Some(&self.peers[self.index(address).ok()?].peer)
     }
@@ -297,6 +328,7 @@
         peer: Peer,
         last_alive: Option<TimeMs>,
     ) -> MergeOutcome {
+        let is_evacuated = self.evacuations.contains(&peer.failure_domain);
         let index = match self.index(peer.address) {
             Ok(index) => index,
             Err(index) => {
@@ -312,6 +344,7 @@
                     is_suspicion_handled: false,
                     indirect_probe_requester: None,
                     reported_at: None,
+                    is_evacuated,
                 };
                 self.peers.insert(index, entry);
                 return MergeOutcome::Changed;
@@ -329,6 +362,7 @@
             || is_recovered;
         let is_load_changed = !entry.peer.role.is_same_load(&peer.role);
         entry.domain = DomainTag::of(&peer.failure_domain);
+        entry.is_evacuated = is_evacuated;
         entry.peer = peer;
         if let Some(last_alive) = last_alive {
             entry.last_alive = entry.last_alive.max(last_alive);
@@ -443,7 +477,7 @@
             let is_preferred_domain = entry.domain == query.preferred_domain;
             let priority = if query.is_opening {
                 let share = new_flow_share(status);
-                if !is_of_service || share == 0 {
+                if !is_of_service || share == 0 || entry.is_evacuated {
                     continue;
                 }
                 let is_accepted = rank.rotate_right(17) % 1000 < share;
@@ -476,7 +510,7 @@
         let agents = self
             .peers
             .iter()
-            .filter_map(|entry| entry.reachable_agent(now));
+            .filter_map(|entry| entry.eligible_agent(now));
         agents
             .filter(|status| status.service == *service)
             .any(|status| new_flow_share(status) > MIN_SHARE)
@@ -496,7 +530,7 @@
             .filter(|entry| {
                 !entry.is_unreachable(now) || now.since(entry.last_alive) <= RESTART_WINDOW_MS
             })
-            .filter(|entry| !visited.contains(&entry.peer.address))
+            .filter(|entry| !visited.contains(&entry.peer.address) && !entry.is_evacuated)
             .filter_map(|entry| entry.peer.agent())
             .filter(|status| status.service == *service)
             .any(|status| matches!(status.phase, Phase::Joining | Phase::Serving))
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -6,14 +6,14 @@
 
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, Backend, BalancerDecision,
-    BalancerMachine, BalancerStatus, Configuration, GossipAction, GossipEvent, Peer, PeerMessage,
-    PeerRole, QueryPart, QueryResult, RequestClass, Route, Search, Segment, SegmentKind,
-    UpstreamReport,
+    BalancerMachine, BalancerStatus, Configuration, Evacuations, GossipAction, GossipEvent, Peer,
+    PeerMessage, PeerRole, QueryPart, QueryResult, RequestClass, Route, Search, Segment,
+    SegmentKind, UpstreamReport,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
     ConfigurationVersion, DurationMs, Incarnation, PerMille, Phase, ResultCode, ServiceName,
-    SlotCount, TimeMs, Weight,
+    SlotCount, TimeMs, Version, Weight,
 };
 
 pub const IDLE_MS: DurationMs = DurationMs(60_000);
@@ -384,6 +384,13 @@
         self.deliver(sends);
     }
 
+    /// Passes a listing of the evacuated failure domains to a balancer, as its watch of the store does.
+    pub fn evacuate(&mut self, balancer: u8, version: u64, domains: &[&str]) {
+        let domains = domains.iter().map(|domain| domain.parse().unwrap());
+        let (evacuations, _) = Evacuations::new(Version(version), domains);
+        self.gossip(balancer, GossipEvent::EvacuationsRead(evacuations));
+    }
+
     /// Handles an event at an agent and executes the resulting actions.
     pub fn agent_event(&mut self, number: u8, event: AgentEvent<'_>, segment: Option<Segment>) {
         let mut actions = Vec::new();
@@ -726,7 +733,8 @@
             }
             GossipAction::PeerChanged(_)
             | GossipAction::PeerUnreachable(_)
-            | GossipAction::IsolationChanged { .. } => None,
+            | GossipAction::IsolationChanged { .. }
+            | GossipAction::EvacuationsChanged(_) => None,
         })
         .collect()
 }
--- a/crates/opaque/tests/gossip.rs
+++ b/crates/opaque/tests/gossip.rs
@@ -100,7 +100,9 @@
                         queue.extend(self.send(at, to, message));
                     }
                     GossipAction::PeerUnreachable(peer) => self.unreachable.push((self.now, peer)),
-                    GossipAction::PeerChanged(_) | GossipAction::IsolationChanged { .. } => {}
+                    GossipAction::PeerChanged(_)
+                    | GossipAction::IsolationChanged { .. }
+                    | GossipAction::EvacuationsChanged(_) => {}
                 }
             }
         }
--- a/crates/opaque/tests/record.rs
+++ b/crates/opaque/tests/record.rs
@@ -190,6 +190,7 @@
             sender: fleet.balancers[&1].gossip().local_peer().clone(),
             updates: updates.collect(),
             suspected: Vec::new(),
+            evacuations: None,
         },
     };
     fleet.gossip(AGENT, message);
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -23,6 +23,7 @@
 use crate::backoff::StoreRecovery;
 use crate::configuration::{ConfigurationEvent, follow_configuration};
 use crate::directory::{Directory, DirectoryEvent};
+use crate::evacuation::follow_evacuations;
 use crate::exchange::{ConfigurationClient, ConfigurationServer, ConfigurationSource};
 use crate::metric::{BalancerMetrics, count_refusal};
 use crate::process::{ProcessOptions, perform_gossip, send_message};
@@ -46,6 +47,8 @@
     pub ready_address: SocketAddr,
     /// HTTP address for metrics, if they are served.
     pub metrics_address: Option<SocketAddr>,
+    /// Whether operators evacuate failure domains through the platform store.
+    pub has_evacuations: bool,
 }
 
 /// Running balancer; it stops when it is dropped.
@@ -126,6 +129,15 @@
             },
             move |event| event_target.handle_configuration_event(event),
         ));
+        if options.has_evacuations {
+            let (watcher, reader) = (Arc::clone(&shared), Arc::clone(&shared));
+            tasks.spawn(follow_evacuations(
+                Arc::clone(&store),
+                recovery.clone(),
+                move || watcher.is_watching(),
+                move |evacuations| reader.gossip(GossipEvent::EvacuationsRead(evacuations)),
+            ));
+        }
         if let Some(directory) = Directory::new(store, &local_peer, recovery) {
             let shared = Arc::clone(&shared);
             tasks.spawn(directory.run(move |event| {
@@ -355,6 +367,13 @@
         }
     }
 
+    /// Returns whether this balancer watches the configuration in the platform store.
+    fn is_watching(&self) -> bool {
+        let machine = self.machine();
+        let status = machine.gossip().local_peer().balancer();
+        status.is_some_and(|status| status.is_watching)
+    }
+
     fn gossip(&self, event: GossipEvent) {
         let mut actions = Vec::new();
         self.machine()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod balancer;
 mod configuration;
 mod directory;
+mod evacuation;
 mod exchange;
 mod metric;
 mod process;
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hawthorntide_opaque::{GossipAction, Peer, PeerMessage, PeerRole, encode};
+use hawthorntide_opaque::{Evacuations, GossipAction, Peer, PeerMessage, PeerRole, encode};
 use hawthorntide_platform::PlatformStore;
 use hawthorntide_store::{ObjectStore, StoreOptions};
 use hawthorntide_types::{FailureDomain, Incarnation};
+use metrics::gauge;
 use tokio::net::UdpSocket;
 
 use crate::sockets::{StartError, send};
@@ -98,10 +99,22 @@
             GossipAction::IsolationChanged { is_isolated: false } => {
                 log::info!("relay: No longer cut off.");
             }
+            GossipAction::EvacuationsChanged(evacuations) => report_evacuations(&evacuations),
         }
     }
 }
 
+fn report_evacuations(evacuations: &Evacuations) {
+    let domains = evacuations.domains();
+    gauge!("hawthorntide_relay_evacuated_failure_domains").set(domains.len() as f64);
+    let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
+    log::info!(
+        version:% = evacuations.version(),
+        failure_domains:% = names.join(" ");
+        "relay: Evacuated failure domains changed."
+    );
+}
+
 fn log_peer_change(peer: &Peer) {
     match &peer.role {
         PeerRole::Balancer(status) => log::info!(
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -46,6 +46,7 @@
         data_address: address(host, 27_721),
         ready_address: address(host, 27_722),
         metrics_address: None,
+        has_evacuations: true,
     };
     RelayBalancer::spawn(options).await.unwrap()
 }
--- /dev/null
+++ b/crates/relay/tests/evacuation.rs
@@ -0,0 +1,65 @@
+//! Tests of evacuations that operators write to the platform store.
+
+mod common;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hawthorntide_standins::{CallError, Caller, ProxyMode, Router, Store, TcpProxy};
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+
+use common::{
+    TEST_TIMEOUT, address, becomes_true, has_version, route, spawn_agent, spawn_balancer,
+};
+
+/// An evacuation must be in force this long after the store acknowledged it.
+const EVACUATE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Opens flows until the outcome is `expected`; returns whether it is in time.
+async fn opens_with(caller: &mut Caller, expected: std::result::Result<(), CallError>) -> bool {
+    let opened = async {
+        loop {
+            let outcome = caller.open(route(1).service_address).await;
+            if outcome.map(|_| ()) == expected {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(EVACUATE_TIMEOUT, opened).await.is_ok()
+}
+
+// Guards against an evacuation that the processes which the store turns away never hear of, against one
+// that outlives its entry, and against entries of other programs that hide it.
+#[gtest]
+#[tokio::test]
+async fn evacuations_reach_a_balancer_that_the_store_turns_away() {
+    let (store_address, proxy_address) = (address(89, 27_730), address(88, 27_730));
+    let store = Store::bind(store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let proxy = TcpProxy::bind(proxy_address, store_address).await.unwrap();
+    let _watching = spawn_balancer(81, 82, store_address).await;
+    let _turned_away = spawn_balancer(82, 81, proxy_address).await;
+    let (_agent, _upstream) = spawn_agent(83, 81, store_address).await;
+    assert!(has_version(82, 3, TEST_TIMEOUT).await);
+    let router = Router::spawn([(address(82, 27_721), address(82, 27_722))]);
+    assert!(becomes_true(|| router.ready_count() == 1, TEST_TIMEOUT).await);
+    let mut caller = Caller::bind(address(87, 27_721), router.into())
+        .await
+        .unwrap();
+    assert!(opens_with(&mut caller, Ok(())).await);
+
+    proxy.set_mode(ProxyMode::Reset);
+    store.write_malformed_object("evacuations", "no-meta", json!({ "spec": 1 }));
+    store.evacuate("an unknown name");
+    store.evacuate("domain");
+    expect_true!(opens_with(&mut caller, Err(CallError::Reset)).await);
+    store.end_evacuation("domain");
+    expect_true!(opens_with(&mut caller, Ok(())).await);
+    // Removed and made again between two answers of the store.
+    store.evacuate("domain");
+    store.end_evacuation("domain");
+    store.evacuate("domain");
+    expect_true!(opens_with(&mut caller, Err(CallError::Reset)).await);
+}
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -16,6 +16,8 @@
     Own,
     /// Configuration that operators write and the load balancer reads.
     Configuration,
+    /// Failure domains that operators evacuate; an object is named like its failure domain.
+    Evacuations,
 }
 
 /// Consistency of a listing.
--- a/src/opaque.rs
+++ b/src/opaque.rs
@@ -36,6 +36,7 @@
         data_address: settings.data_address,
         ready_address: settings.process.ready_address,
         metrics_address: settings.process.metrics_address,
+        has_evacuations: settings.has_evacuations,
     };
     log_start("balancer", &options.process);
     let balancer = RelayBalancer::spawn(options).await.map_err(failure)?;
