Leave new flows at the least loaded agent and refuse them when all are full

An agent now returns the flow to the visited agent with the shortest expected wait, and refuses it if none that it visits can serve it in time; its balancer tries the other services of the route first.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -22,4 +22,4 @@
 };
 pub use retry::{DEFAULT_RETRY_BUDGET, RetryAttempt, RetryBudget};
 pub use sibling::{EndpointLoad, FlowDecision, SiblingSelector};
-pub use slot_scheduler::{SlotAction, SlotEvent, SlotRequest, SlotScheduler};
+pub use slot_scheduler::{ExpectedWait, SlotAction, SlotEvent, SlotRequest, SlotScheduler};
--- a/crates/admission/src/slot_scheduler.rs
+++ b/crates/admission/src/slot_scheduler.rs
@@ -28,6 +28,9 @@
 /// kind takes precedence over more urgent work.
 const CREDIT_LIMIT_MS: DurationMs = DurationMs(100);
 
+/// A discarded request shows for this long that the upstream gets more work than it can serve.
+const DISCARD_MEMORY_MS: DurationMs = DurationMs(500);
+
 /// Request that needs a slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SlotRequest {
@@ -66,6 +69,16 @@
     Forget { id: RequestId },
 }
 
+/// How long a request that arrives now would wait.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ExpectedWait {
+    /// Time until it starts, while further requests that start before it are not counted.
+    pub wait_ms: DurationMs,
+    /// It would miss its objective, and late requests hardly start: the oldest one has waited for half of
+    /// its time, or one was discarded lately.
+    pub is_hopeless: bool,
+}
+
 /// Waiting requests of one kind and urgency.
 #[derive(Clone, Debug)]
 struct Class {
@@ -94,6 +107,8 @@
     running: Vec<Running>,
     service_times: [ServiceTimeEstimate; WorkKind::ALL.len()],
     shares: FairShares,
+    /// When a request was last discarded because of its deadline.
+    last_discard: Option<TimeMs>,
 }
 
 impl SlotScheduler {
@@ -104,6 +119,7 @@
             running: Vec::new(),
             service_times: Default::default(),
             shares: FairShares::with_credit_limit(CREDIT_LIMIT_MS),
+            last_discard: None,
         }
     }
 
@@ -116,6 +132,43 @@
         self.classes.iter().map(Class::waiting).sum()
     }
 
+    /// Returns how long `request` would wait if it arrived now.
+    pub fn expected_wait(&self, now: TimeMs, request: &SlotRequest) -> ExpectedWait {
+        if self.running.len() < self.slots.get() as usize {
+            return ExpectedWait::default();
+        }
+        // The estimate fades while nothing is answered, so the requests that run count as well.
+        let elapsed = self.running.iter().map(|it| now.since(it.started).get());
+        let running_ms = elapsed.max().unwrap_or(0) / 2;
+        let service_time_ms = |kind: WorkKind| {
+            let mean_ms = self.service_times[kind as usize].total_time_ms(now, 1, 1_000);
+            mean_ms.get().max(running_ms)
+        };
+        let ahead = self.classes.iter();
+        let ahead = ahead.filter(|class| class.urgency >= request.urgency);
+        let ahead_ms: u64 = ahead
+            .map(|class| class.timely.len() as u64 * service_time_ms(class.kind))
+            .sum();
+        let own_ms = service_time_ms(request.kind);
+        let wait_ms = DurationMs((ahead_ms + own_ms) / u64::from(self.max_running()));
+        let upper_ms = self.service_times[request.kind as usize].upper_estimate_ms(now);
+        let is_late = now + wait_ms > latest_start(now, request.objective_ms, upper_ms);
+        ExpectedWait {
+            wait_ms,
+            is_hopeless: is_late && self.is_starving_late_requests(now),
+        }
+    }
+
+    /// Returns whether late requests hardly get a slot.
+    fn is_starving_late_requests(&self, now: TimeMs) -> bool {
+        let is_recent = |at: TimeMs| now.since(at) <= DISCARD_MEMORY_MS;
+        let has_waited_long = |late: &QueuedRequest| {
+            now.since(late.arrived).get() * 2 >= late.deadline.since(late.arrived).get()
+        };
+        let mut oldest = self.classes.iter().filter_map(|class| class.late.oldest());
+        self.last_discard.is_some_and(is_recent) || oldest.any(has_waited_long)
+    }
+
     /// Processes `event` and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: TimeMs, event: SlotEvent, out: &mut Vec<SlotAction>) {
         let usage = WorkKind::ALL.map(|kind| self.usage_of(kind));
@@ -143,10 +196,14 @@
     fn expire(&mut self, now: TimeMs, out: &mut Vec<SlotAction>) {
         let forgotten = self.running.extract_if(.., |it| now > it.deadline);
         out.extend(forgotten.map(|running| SlotAction::Forget { id: running.id }));
+        let kept = out.len();
         for class in &mut self.classes {
             let service_time = &self.service_times[class.kind as usize];
             class.expire(now, service_time.upper_estimate_ms(now), out);
         }
+        if out.len() > kept {
+            self.last_discard = Some(now);
+        }
     }
 
     const fn max_running(&self) -> u32 {
--- a/crates/admission/tests/slot_scheduler.rs
+++ b/crates/admission/tests/slot_scheduler.rs
@@ -291,3 +291,55 @@
     expect_that!(answered, lt(0.2 * CAPACITY * SECONDS));
     expect_that!(reservation.in_objective, lt(0.5 * reservation.offered));
 }
+
+/// Guards against requests that are taken for hopeless although they can be served, and against a
+/// flood whose late requests wait until their deadline while nobody is told.
+#[gtest]
+fn a_request_is_hopeless_while_late_ones_starve() {
+    let mut scheduler = occupied_scheduler();
+    let expected = |scheduler: &SlotScheduler, now_ms, class| {
+        scheduler.expected_wait(TimeMs(now_ms), &request(0, class))
+    };
+    expect_that!(expected(&scheduler, 100, STREAM).is_hopeless, eq(false));
+    let mut now_ms = 100;
+    let mut id = 10;
+    let mut running = VecDeque::from([0, 1]);
+    // One slot gets twice the work that it can serve.
+    while now_ms < 100 + DEADLINE_MS / 2 {
+        now_ms += SERVICE_MS / 2;
+        id += 1;
+        let arrived = SlotEvent::Arrived(request(id, STREAM));
+        running.extend(started(&handle(&mut scheduler, now_ms, arrived)));
+        if id.is_multiple_of(2) {
+            let answered = SlotEvent::Answered(RequestId(running.pop_front().unwrap()));
+            running.extend(started(&handle(&mut scheduler, now_ms, answered)));
+        }
+        let is_hopeless = expected(&scheduler, now_ms, STREAM).is_hopeless;
+        if now_ms < 100 + DEADLINE_MS / 2 - OBJECTIVE_MS {
+            expect_that!(is_hopeless, eq(false), "at {now_ms} ms");
+        }
+    }
+    now_ms += OBJECTIVE_MS;
+    handle(&mut scheduler, now_ms, SlotEvent::Tick);
+    for more in 0..8 {
+        let arrived = SlotEvent::Arrived(request(1_000 + more, STREAM));
+        handle(&mut scheduler, now_ms, arrived);
+    }
+    expect_that!(expected(&scheduler, now_ms, STREAM).is_hopeless, eq(true));
+    let urgent = expected(&scheduler, now_ms, RESERVATION);
+    expect_that!(urgent.is_hopeless, eq(false), "urgent work starts first");
+}
+
+/// Guards against an upstream that answers nothing and therefore seems to have a short queue.
+#[gtest]
+fn the_expected_wait_grows_while_nothing_is_answered() {
+    let mut scheduler = occupied_scheduler();
+    handle(&mut scheduler, 100, SlotEvent::Arrived(request(2, STREAM)));
+    let waits = [200, 1_000, 3_000].map(|now_ms| {
+        scheduler
+            .expected_wait(TimeMs(now_ms), &request(0, STREAM))
+            .wait_ms
+    });
+    expect_that!(waits.is_sorted(), eq(true), "{waits:?}");
+    expect_that!(waits[2], ge(DurationMs(500)));
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -19,7 +19,9 @@
 pub use key_file::{KeyFiles, Keys, TlsFiles, TlsMaterial};
 pub use lost::{LostObject, lost_objects};
 pub use object_check::{Catalog, check_profile, check_service, check_service_file};
-pub use opaque_settings::{OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings};
+pub use opaque_settings::{
+    HandOffRule, OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings,
+};
 pub use problem::SettingsProblem;
 pub use replica::{
     ApplyOutcome, MAX_VALUE_BYTES, Object, PROFILE_KIND, REPLICA_BUCKETS, Replica, SERVICE_KIND,
--- a/crates/configuration/src/opaque_settings.rs
+++ b/crates/configuration/src/opaque_settings.rs
@@ -1,15 +1,18 @@
 //! Settings of balancers and agents for opaque flows.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 
-use hawthorntide_types::{DurationMs, FailureDomain, ServiceName};
+use hawthorntide_types::{DurationMs, FailureDomain, ParseValueError, ServiceName};
 
 use crate::balancer_settings::{MAX_DRAIN_MS, MAX_KNOWN_PEERS, NAME_RULE};
 use crate::section::Section;
-use crate::settings::{LogSettings, read_log};
+use crate::settings::{LogSettings, parse_error, read_log};
 
 const MAX_HEARTBEAT_MS: u64 = 60_000;
 
+const HAND_OFF_RULE: &str = "\"first_free\" or \"least_loaded\" is accepted";
+
 /// One hour.
 const MAX_FLOW_IDLE_MS: u64 = 3_600_000;
 
@@ -59,6 +62,32 @@
     pub heartbeat_ms: DurationMs,
     /// Time without packets after which a flow's state is removed.
     pub flow_idle_ms: DurationMs,
+    /// Where a new flow stays if all agents that it visits are busy.
+    pub hand_off: HandOffRule,
+    /// Whether new flows that no agent can serve in time are refused.
+    pub refuses_when_full: bool,
+}
+
+/// Value of the field `hand_off`.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum HandOffRule {
+    /// At the last of the agents that it visits.
+    #[default]
+    FirstFree,
+    /// At the one with the shortest expected wait.
+    LeastLoaded,
+}
+
+impl FromStr for HandOffRule {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "first_free" => Ok(Self::FirstFree),
+            "least_loaded" => Ok(Self::LeastLoaded),
+            _ => Err(parse_error(text, HAND_OFF_RULE)),
+        }
+    }
 }
 
 impl OpaqueProcessSettings {
@@ -107,6 +136,8 @@
         let data_address = root.address("data_address");
         let heartbeat_ms = root.number("heartbeat_ms", 1..=MAX_HEARTBEAT_MS);
         let flow_idle_ms = root.number("flow_idle_ms", 1..=MAX_FLOW_IDLE_MS);
+        let hand_off = root.optional_text("hand_off", HAND_OFF_RULE);
+        let refuses_when_full = root.flag("refuse_when_full");
         Some(Self {
             process: process?,
             service: service?,
@@ -116,6 +147,8 @@
             data_address: data_address?,
             heartbeat_ms: DurationMs(heartbeat_ms?),
             flow_idle_ms: DurationMs(flow_idle_ms?),
+            hand_off: hand_off.unwrap_or_default(),
+            refuses_when_full,
         })
     }
 }
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -261,7 +261,7 @@
     }
 }
 
-fn parse_error(text: &str, expected: &str) -> ParseValueError {
+pub(crate) fn parse_error(text: &str, expected: &str) -> ParseValueError {
     ParseValueError {
         text: text.chars().take(80).collect(),
         expected: expected.to_owned(),
--- a/crates/configuration/tests/opaque_settings.rs
+++ b/crates/configuration/tests/opaque_settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use googletest::prelude::*;
-use hawthorntide_configuration::{LogFormat, LogOutput, Settings, check_settings};
+use hawthorntide_configuration::{HandOffRule, LogFormat, LogOutput, Settings, check_settings};
 use hawthorntide_types::{DurationMs, ResultCode};
 
 const BALANCER: &str = r#"{
@@ -48,6 +48,8 @@
     };
     expect_that!(settings.service.as_str(), eq("stockd"));
     expect_that!(settings.heartbeat_ms, eq(DurationMs(770)));
+    expect_that!(settings.hand_off, eq(HandOffRule::FirstFree));
+    expect_false!(settings.refuses_when_full);
     expect_that!(
         settings.process.seed_addresses.len(),
         eq(0),
@@ -70,6 +72,14 @@
         (BALANCER.replace("\"stdout\"", "\"file\""), "log.output"),
         (AGENT.replace("770", "0"), "heartbeat_ms"),
         (AGENT.replace("\"stockd\"", "\"\""), "service"),
+        (
+            AGENT.replace("770", "770, \"hand_off\": \"random\""),
+            "hand_off",
+        ),
+        (
+            AGENT.replace("770", "770, \"refuse_when_full\": 1"),
+            "refuse_when_full",
+        ),
         (
             AGENT.replace("10.1.0.12:8162", "0.0.0.0:8162"),
             "upstream_output_address",
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -12,6 +12,7 @@
 use crate::flow_table::{CallerPacket, FlowChange, FlowTable};
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
+use crate::opening::{OpeningDecision, OpeningPolicy, OpeningState};
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
 use crate::placement::DomainTag;
@@ -33,10 +34,6 @@
 /// second.
 const LOAD_GAIN: u32 = 300;
 
-/// A busy agent hands off a new flow only while the flow has visited fewer agents than this. After
-/// that, an agent accepts the flow although its request has to wait.
-const MAX_BUSY_HANDOFFS: usize = 2;
-
 #[derive(Clone, Debug)]
 pub struct AgentOptions {
     /// Record of the local process at its start.
@@ -46,6 +43,7 @@
     pub heartbeat_ms: DurationMs,
     /// Idle timeout of the flows in the table.
     pub flow_idle_ms: DurationMs,
+    pub opening_policy: OpeningPolicy,
     pub seed: u64,
 }
 
@@ -133,6 +131,10 @@
         /// Packet that the agent kept; `None` for the packet of the event.
         packet: Option<Vec<u8>>,
     },
+    /// Returns the opening packet to its balancer: no upstream that it visited can serve its request in time.
+    ReturnOverloaded {
+        search: Search,
+    },
     /// Returns the packet to its balancer: the registered owner of its flow has left or is unreachable.
     ReturnOwnerLost {
         search: Search,
@@ -191,6 +193,7 @@
     own_registrations: OwnRegistrations,
     requests: Requests,
     pending: PendingPackets,
+    opening_policy: OpeningPolicy,
     phase: Phase,
     /// The process is about to exit.
     is_stopping: bool,
@@ -215,6 +218,7 @@
             own_registrations: OwnRegistrations::default(),
             requests: Requests::new(),
             pending: PendingPackets::new(options.seed as u32),
+            opening_policy: options.opening_policy,
             phase: Phase::Joining,
             is_stopping: false,
             started_at: now,
@@ -359,10 +363,49 @@
         // The caller has given up an old flow with these addresses. Its request must not reach the new one.
         self.cancel_request(now, &segment.flow, out);
         let is_eligible = self.accepts_new_flows() && search.service == self.service;
-        if is_eligible && !self.should_hand_off(now, &search, segment) {
-            self.deliver(now, search, segment, Some(packet), out);
-        } else {
+        if !is_eligible {
             self.forward_to_next(now, search, segment, None, out);
+            return;
+        }
+        self.handle_opening(now, search, segment, packet, out);
+    }
+
+    /// Accepts, hands off or refuses a new flow.
+    fn handle_opening(
+        &mut self,
+        now: TimeMs,
+        mut search: Search,
+        segment: &Segment,
+        packet: &[u8],
+        out: &mut Vec<AgentAction>,
+    ) {
+        let is_handed_back = search.visited.contains(&self.local_address());
+        let state = self.opening_state(now, &search, segment);
+        let decision = if is_handed_back {
+            OpeningDecision::Accept
+        } else {
+            self.opening_policy.decide(&state)
+        };
+        match decision {
+            OpeningDecision::Accept => self.deliver(now, search, segment, Some(packet), out),
+            OpeningDecision::HandOff => {
+                search.least_loaded = self
+                    .opening_policy
+                    .least_loaded(self.local_address(), &state);
+                self.forward_to_next(now, search, segment, None, out);
+            }
+            OpeningDecision::HandBack(to) => {
+                search.visited.push(self.local_address());
+                out.push(AgentAction::ForwardToAgent {
+                    to,
+                    search,
+                    packet: None,
+                });
+            }
+            OpeningDecision::Refuse => {
+                search.visited.push(self.local_address());
+                out.push(AgentAction::ReturnOverloaded { search });
+            }
         }
     }
 
@@ -470,15 +513,10 @@
         });
     }
 
-    /// Returns whether to hand off a new flow: its request would wait for a slot at this upstream,
-    /// and another agent may accept it.
-    fn should_hand_off(&self, now: TimeMs, search: &Search, segment: &Segment) -> bool {
+    fn opening_state(&self, now: TimeMs, search: &Search, segment: &Segment) -> OpeningState {
         let recent = self.pending.recent_openings();
-        let expected = recent.filter(|flow| !self.flows.is_busy(flow)).count();
-        let requests = self.flows.busy_flows() as usize + expected;
-        if requests <= self.upstream.slots() as usize || search.visited.len() >= MAX_BUSY_HANDOFFS {
-            return false;
-        }
+        let expected = recent.filter(|flow| !self.flows.is_busy(flow)).count() as u32;
+        let wait = self.requests.expected_wait(now, &search.class);
         let mut visited = search.visited.clone();
         visited.push(self.local_address());
         let query = AgentQuery {
@@ -488,7 +526,16 @@
             visited: &visited,
             is_opening: true,
         };
-        self.gossip.view().next_agent(now, query).is_some()
+        OpeningState {
+            requests: self.flows.busy_flows() + expected,
+            slots: self.upstream.slots(),
+            expected_wait_ms: wait.wait_ms,
+            is_overloaded: wait.is_hopeless,
+            visited: search.visited.len(),
+            has_next: self.gossip.view().next_agent(now, query).is_some(),
+            is_retransmission: matches!(segment.kind, SegmentKind::Opening { attempt: 1.. }),
+            least_loaded: search.least_loaded,
+        }
     }
 
     fn deliver(
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -474,6 +474,7 @@
             is_fallback_service: Some(service) != selected_service,
             visited: Vec::new(),
             is_parallel: false,
+            least_loaded: None,
             class: route.class,
         };
         match segment.kind {
@@ -572,6 +573,34 @@
         }
     }
 
+    /// Handles an opening packet that no upstream it visited can serve in time: another service of the route
+    /// takes it if it has capacity, otherwise it is refused.
+    pub fn handle_overloaded(
+        &mut self,
+        now: TimeMs,
+        mut search: Search,
+        segment: &Segment,
+    ) -> BalancerDecision {
+        let Some(route) = self.routes.find(segment.flow.service_address) else {
+            return self.handle_unrouted(now, segment);
+        };
+        let view = self.gossip.view();
+        let services = route.services_of(&segment.flow);
+        let mut untried = services
+            .skip_while(|service| **service != search.service)
+            .skip(1);
+        if let Some(service) = untried.find(|service| view.has_capacity(now, service)) {
+            search.service = service.clone();
+            search.is_fallback_service = true;
+            search.visited.clear();
+            search.least_loaded = None;
+            if let Some(to) = self.next_agent(now, segment, &search) {
+                return BalancerDecision::Forward { to, search };
+            }
+        }
+        BalancerDecision::Reset(ResultCode::Overloaded)
+    }
+
     /// Queries the agents that a packet has not visited. A retransmission repeats the query at those that
     /// have not answered.
     fn query_agents(
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -12,6 +12,7 @@
 mod flow_table;
 mod gossip;
 mod message;
+mod opening;
 mod peer;
 mod pending;
 mod placement;
@@ -31,6 +32,7 @@
 pub use message::{
     Gossip, MessageError, PeerMessage, PeerUpdate, ReplyKind, Search, decode, encode,
 };
+pub use opening::{HandOff, OpeningDecision, OpeningPolicy, OpeningState, VisitedAgent};
 pub use peer::{AgentStatus, BalancerStatus, Peer, PeerRole};
 pub use placement::DomainTag;
 pub use record::{FlowRecord, MAX_RECORDED_FLOWS, RecordedFlow, UpstreamIncarnation};
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -10,6 +10,7 @@
 
 use crate::class::RequestClass;
 use crate::evacuation::Evacuations;
+use crate::opening::VisitedAgent;
 use crate::peer::Peer;
 use crate::placement::DomainTag;
 
@@ -31,13 +32,17 @@
     /// forwarding it. Not part of the encoded message: `Query` and `RelayQuery` imply it.
     #[serde(skip)]
     pub is_parallel: bool,
+    /// The agent with the shortest expected wait that an opening packet visited. Not part of the encoded message:
+    /// `ForwardOpening` carries it.
+    #[serde(skip)]
+    pub least_loaded: Option<VisitedAgent>,
     /// Class of the route. Not part of the encoded message: it travels in the header of the packet.
     #[serde(skip)]
     pub class: RequestClass,
 }
 
-/// Message between processes; `Forward`, `Exhausted`, `OwnerLost`, `Query` and `RelayQuery` are followed by the
-/// packet.
+/// Message between processes; `Forward`, `ForwardOpening`, `Exhausted`, `Overloaded`, `OwnerLost`, `Query` and
+/// `RelayQuery` are followed by the packet.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// Packet of a caller, sent to an agent.
@@ -70,6 +75,15 @@
         search: Search,
         agents: Vec<SocketAddr>,
     },
+    /// Opening packet, sent to another agent because the upstreams that it visited are busy. Earlier versions do
+    /// not know it; agents send it only by their setting.
+    ForwardOpening {
+        search: Search,
+        /// The agent with the shortest expected wait.
+        least_loaded: VisitedAgent,
+    },
+    /// Opening packet, returned to its balancer because no upstream that it visited can serve it in time.
+    Overloaded(Search),
 }
 
 /// Reply that the sender of a gossip message requests; a reply also acknowledges the probe.
--- a/crates/opaque/src/requests.rs
+++ b/crates/opaque/src/requests.rs
@@ -7,10 +7,13 @@
 
 use std::collections::HashMap;
 
-use hawthorntide_admission::{RequestId, SlotAction, SlotEvent, SlotRequest, SlotScheduler};
+use hawthorntide_admission::{
+    ExpectedWait, RequestId, SlotAction, SlotEvent, SlotRequest, SlotScheduler,
+};
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, SlotCount, TimeMs};
 
+use crate::class::RequestClass;
 use crate::message::Search;
 use crate::segment::Segment;
 
@@ -81,6 +84,12 @@
         request.is_some_and(|request| !request.packets.is_empty())
     }
 
+    /// Returns how long a request of this class would wait if it arrived now.
+    pub(crate) fn expected_wait(&self, now: TimeMs, class: &RequestClass) -> ExpectedWait {
+        let request = slot_request(RequestId(0), class);
+        self.scheduler.expected_wait(now, &request)
+    }
+
     pub(crate) fn set_slots(&mut self, now: TimeMs, slots: SlotCount) -> Vec<RequestChange> {
         self.schedule(now, SlotEvent::SlotsChanged(slots))
     }
@@ -100,13 +109,7 @@
         let packets = vec![held];
         self.requests.insert(id, Request { flow, packets });
         self.by_flow.insert(flow, id);
-        let event = SlotEvent::Arrived(SlotRequest {
-            id,
-            kind: class.kind,
-            urgency: class.urgency,
-            objective_ms: class.objective_ms,
-            deadline_ms: class.deadline_ms,
-        });
+        let event = SlotEvent::Arrived(slot_request(id, &class));
         changes.extend(self.schedule(now, event));
         changes
     }
@@ -216,3 +219,13 @@
         self.held_bytes -= bytes;
     }
 }
+
+const fn slot_request(id: RequestId, class: &RequestClass) -> SlotRequest {
+    SlotRequest {
+        id,
+        kind: class.kind,
+        urgency: class.urgency,
+        objective_ms: class.objective_ms,
+        deadline_ms: class.deadline_ms,
+    }
+}
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -6,9 +6,9 @@
 
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, Backend, BalancerDecision,
-    BalancerMachine, BalancerStatus, Configuration, Evacuations, GossipAction, GossipEvent, Peer,
-    PeerMessage, PeerRole, QueryPart, QueryResult, RequestClass, Route, Search, Segment,
-    SegmentKind, UpstreamReport,
+    BalancerMachine, BalancerStatus, Configuration, Evacuations, GossipAction, GossipEvent,
+    OpeningPolicy, Peer, PeerMessage, PeerRole, QueryPart, QueryResult, RequestClass, Route,
+    Search, Segment, SegmentKind, UpstreamReport,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
@@ -147,6 +147,8 @@
     /// Packet that the first agent copies to the others.
     RelayedQuery(QueryPart, Search, Segment),
     Returned(SocketAddr, Search, Segment),
+    /// Returned because no upstream can serve it in time.
+    Overloaded(Search, Segment),
     /// Returned because this owner of the flow is lost.
     OwnerLost(SocketAddr, Search, Segment),
     /// Answer of an agent to a balancer that queried it.
@@ -175,6 +177,8 @@
     pub balancers: BTreeMap<u8, BalancerMachine>,
     pub agents: BTreeMap<u8, AgentNode>,
     pub services: u8,
+    /// Policy of the agents that start.
+    pub opening_policy: OpeningPolicy,
     pub directory: BTreeMap<u8, Peer>,
     /// The platform store may have lost entries of the directory.
     pub is_directory_incomplete: bool,
@@ -201,23 +205,35 @@
     /// Starts a fleet and runs it until all processes know each other.
     pub fn new(balancers: u8, agents: u8, services: u8) -> Self {
         let agents = (0..agents).map(|number| number % services).collect();
-        Self::start(balancers, services, agents)
+        Self::start(balancers, services, agents, OpeningPolicy::default())
+    }
+
+    /// Starts a fleet whose agents treat new flows by `policy`.
+    pub fn with_policy(balancers: u8, agents: u8, services: u8, policy: OpeningPolicy) -> Self {
+        let agents = (0..agents).map(|number| number % services).collect();
+        Self::start(balancers, services, agents, policy)
     }
 
     /// Starts a fleet with this number of agents of each service.
     pub fn with_agents<const N: usize>(balancers: u8, agents: [u8; N]) -> Self {
         let services = (0..).zip(agents);
         let agents = services.flat_map(|(number, count)| std::iter::repeat_n(number, count.into()));
-        Self::start(balancers, N as u8, agents.collect())
+        Self::start(
+            balancers,
+            N as u8,
+            agents.collect(),
+            OpeningPolicy::default(),
+        )
     }
 
     /// Starts balancers and one agent for each entry of `agents`, which names its service.
-    fn start(balancers: u8, services: u8, agents: Vec<u8>) -> Self {
+    fn start(balancers: u8, services: u8, agents: Vec<u8>, opening_policy: OpeningPolicy) -> Self {
         let mut fleet = Self {
             now: TimeMs(1_000_000),
             balancers: BTreeMap::new(),
             agents: BTreeMap::new(),
             services,
+            opening_policy,
             directory: BTreeMap::new(),
             is_directory_incomplete: false,
             has_no_records: true,
@@ -298,6 +314,7 @@
             service: service(service_number),
             heartbeat_ms: DurationMs(HEARTBEAT_MS),
             flow_idle_ms: IDLE_MS,
+            opening_policy: self.opening_policy,
             seed: incarnation,
         };
         let mut machine = AgentMachine::new(self.now, options);
@@ -478,6 +495,14 @@
                 let (queue, outcome) = decide(decision, segment);
                 (queue.into(), outcome)
             }
+            Transit::Overloaded(search, segment) => {
+                let Some(balancer) = self.balancers.get_mut(&number_of(search.balancer)) else {
+                    return (Vec::new(), Some(Outcome::Lost));
+                };
+                let decision = balancer.handle_overloaded(self.now, search, &segment);
+                let (queue, outcome) = decide(decision, segment);
+                (queue.into(), outcome)
+            }
             Transit::OwnerLost(owner, search, segment) => {
                 let Some(balancer) = self.balancers.get_mut(&number_of(search.balancer)) else {
                     return (Vec::new(), Some(Outcome::Lost));
@@ -527,7 +552,9 @@
                 }
             }
             PeerMessage::Forward(_)
+            | PeerMessage::ForwardOpening { .. }
             | PeerMessage::Exhausted(_)
+            | PeerMessage::Overloaded(_)
             | PeerMessage::OwnerLost { .. }
             | PeerMessage::Query(_)
             | PeerMessage::RelayQuery { .. }
@@ -598,6 +625,9 @@
                         transits.push(Transit::Returned(to, search, segment.unwrap()));
                     }
                 }
+                AgentAction::ReturnOverloaded { search } => {
+                    transits.push(Transit::Overloaded(search, segment.unwrap()));
+                }
                 AgentAction::ReturnOwnerLost {
                     search,
                     owner,
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -338,6 +338,7 @@
         is_fallback_service: false,
         visited: Vec::new(),
         is_parallel: false,
+        least_loaded: None,
         class: hawthorntide_opaque::RequestClass::default(),
     };
     let event = AgentEvent::Forwarded {
--- a/crates/opaque/tests/large_fleet.rs
+++ b/crates/opaque/tests/large_fleet.rs
@@ -212,6 +212,7 @@
         is_fallback_service: false,
         visited: Vec::new(),
         is_parallel: false,
+        least_loaded: None,
         class: RequestClass::default(),
     };
     let owner = peer_address(agent);
--- /dev/null
+++ b/crates/opaque/tests/opening.rs
@@ -0,0 +1,175 @@
+//! Tests of what agents do with new flows while their upstreams are busy.
+
+mod common;
+
+use common::{
+    Fleet, IDLE_MS, Outcome, established, flow, opening, peer_address, service, service_address,
+};
+use googletest::prelude::*;
+use hawthorntide_opaque::{
+    Backend, Configuration, HandOff, OpeningDecision, OpeningPolicy, OpeningState, RequestClass,
+    Route, VisitedAgent,
+};
+use hawthorntide_types::{ConfigurationVersion, DurationMs, ResultCode};
+use proptest::prelude::{any, proptest};
+
+const POLICY: OpeningPolicy = OpeningPolicy {
+    hand_off: HandOff::LeastLoaded,
+    refuses_when_full: true,
+};
+
+/// A busy upstream at the last agent that a flow may visit.
+fn last_visit() -> OpeningState {
+    OpeningState {
+        requests: 9,
+        slots: 2,
+        expected_wait_ms: DurationMs(120),
+        is_overloaded: false,
+        visited: 2,
+        has_next: true,
+        is_retransmission: false,
+        least_loaded: None,
+    }
+}
+
+fn visited(number: u8, expected_wait_ms: u64) -> Option<VisitedAgent> {
+    Some(VisitedAgent {
+        address: peer_address(number),
+        expected_wait_ms: DurationMs(expected_wait_ms),
+    })
+}
+
+// Guards deployments that do not set the policy: they hand off and accept as before, and refuse nothing.
+proptest! {
+    #[test]
+    fn the_default_policy_hands_off_twice_and_then_accepts(
+        requests in 0_u32..20,
+        visits in 0_usize..8,
+        has_next in any::<bool>(),
+        is_overloaded in any::<bool>(),
+    ) {
+        let state = OpeningState { requests, visited: visits, has_next, is_overloaded, ..last_visit() };
+        let is_handed_off = requests > state.slots && visits < 2 && has_next;
+        let expected = if is_handed_off { OpeningDecision::HandOff } else { OpeningDecision::Accept };
+        assert_eq!(OpeningPolicy::default().decide(&state), expected);
+        assert_eq!(OpeningPolicy::default().least_loaded(peer_address(100), &state), None);
+    }
+}
+
+// Burst while all agents are busy: the last agent must not keep the flow if another one is clearly less
+// loaded, and not send it back for the few milliseconds that the message takes.
+#[gtest]
+fn a_flow_returns_to_the_least_loaded_agent_that_it_visited() {
+    let decide = |wait_ms| {
+        let state = OpeningState {
+            least_loaded: visited(100, wait_ms),
+            ..last_visit()
+        };
+        POLICY.decide(&state)
+    };
+    expect_that!(decide(40), eq(OpeningDecision::HandBack(peer_address(100))));
+    expect_that!(decide(118), eq(OpeningDecision::Accept));
+    expect_that!(decide(300), eq(OpeningDecision::Accept));
+}
+
+// Flood beyond the slots: refusing must be the last resort, after several agents, and never for a flow
+// that an earlier transmission may have opened.
+#[gtest]
+fn a_flow_is_refused_only_after_several_overloaded_agents() {
+    let full = OpeningState {
+        is_overloaded: true,
+        ..last_visit()
+    };
+    expect_that!(POLICY.decide(&full), eq(OpeningDecision::HandOff));
+    let last = OpeningState { visited: 5, ..full };
+    expect_that!(POLICY.decide(&last), eq(OpeningDecision::Refuse));
+    let alone = OpeningState {
+        visited: 0,
+        has_next: false,
+        ..full
+    };
+    expect_that!(POLICY.decide(&alone), eq(OpeningDecision::Refuse));
+    let retransmission = OpeningState {
+        is_retransmission: true,
+        ..last
+    };
+    expect_that!(POLICY.decide(&retransmission), eq(OpeningDecision::Accept));
+    let other = OpeningState {
+        least_loaded: visited(100, 500),
+        ..last
+    };
+    let back = OpeningDecision::HandBack(peer_address(100));
+    expect_that!(POLICY.decide(&other), eq(back));
+    let is_kept = POLICY.least_loaded(peer_address(101), &full).is_some();
+    expect_false!(is_kept, "an overloaded agent is no place to return to");
+}
+
+/// Opens flows and leaves their requests unanswered, until those that wait have waited for half of their time.
+fn overload(fleet: &mut Fleet) {
+    for agent in fleet.agents.values_mut() {
+        agent.upstream.behaviour = common::Behaviour::Stuck;
+    }
+    for caller in 0..160 {
+        let (agent, number) = fleet.open(1, flow(caller, 0)).unwrap();
+        let mut request = established(flow(caller, 0), number.wrapping_add(1));
+        request.sequence = request.end();
+        let outcome = fleet.send(1, request);
+        assert!([Outcome::Accepted(agent), Outcome::Held(agent)].contains(&outcome));
+        if caller % 40 == 0 {
+            // The load of those that are asked first becomes known.
+            fleet.run_for(500);
+        }
+    }
+    let deadline_ms = RequestClass::default().deadline_ms.get();
+    fleet.run_for(deadline_ms / 2 + 500);
+}
+
+// Flood beyond the slots of all upstreams: callers must be told at once instead of waiting for their
+// deadline; a copy of the opening packet must not be refused.
+#[gtest]
+fn callers_are_told_at_once_while_every_upstream_is_overloaded() {
+    let mut fleet = Fleet::with_policy(1, 6, 1, POLICY);
+    overload(&mut fleet);
+    let outcome = fleet.send(1, opening(flow(900, 0), 0));
+    expect_that!(outcome, eq(Outcome::Reset(ResultCode::Overloaded)));
+    let copy = fleet.send(1, opening(flow(901, 0), 1));
+    expect_that!(copy, matches_pattern!(Outcome::Accepted(_)));
+    expect_that!(fleet.reset_flows, is_empty(), "open flows stay");
+}
+
+// The same without the setting: nobody is refused.
+#[gtest]
+fn without_the_setting_nobody_is_refused_for_load() {
+    let mut fleet = Fleet::new(1, 6, 1);
+    overload(&mut fleet);
+    for caller in 900..920 {
+        let outcome = fleet.send(1, opening(flow(caller, 0), 0));
+        expect_that!(outcome, matches_pattern!(Outcome::Accepted(_)));
+    }
+}
+
+// Flood of one service of a route while another one of it idles: the idle one takes the flows that would
+// be refused.
+#[gtest]
+fn an_idle_service_of_the_route_takes_the_flows_of_an_overloaded_one() {
+    let mut fleet = Fleet::with_policy(1, 6, 2, POLICY);
+    let backend = |number, weight| Backend {
+        service: service(number),
+        weight,
+    };
+    let both = Route {
+        service_address: service_address(0),
+        backends: vec![backend(0, 99), backend(1, 1)],
+        class: RequestClass::default(),
+    };
+    overload(&mut fleet);
+    for agent in [101, 103, 105] {
+        fleet.agents.get_mut(&agent).unwrap().upstream.behaviour = common::Behaviour::Healthy;
+    }
+    let configuration = Configuration::new(ConfigurationVersion(9), vec![both], IDLE_MS);
+    fleet.balancers.get_mut(&1).unwrap().apply(configuration);
+    for caller in 900..905 {
+        let (agent, _) = fleet.open(1, flow(caller, 0)).unwrap();
+        expect_that!(agent % 2, eq(1), "flow {caller}");
+    }
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -7,7 +7,7 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, GOSSIP_INTERVAL_MS,
-    GossipAction, GossipEvent, Peer, PeerMessage, PeerRole, Search, Segment, decode,
+    GossipAction, GossipEvent, OpeningPolicy, Peer, PeerMessage, PeerRole, Search, Segment, decode,
 };
 use hawthorntide_platform::{
     HEADER_BYTES, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, UpstreamPacket,
@@ -64,6 +64,7 @@
     pub heartbeat_ms: DurationMs,
     /// Idle timeout of the flows in the table.
     pub flow_idle_ms: DurationMs,
+    pub opening_policy: OpeningPolicy,
 }
 
 /// Running agent; it stops when it is dropped.
@@ -113,6 +114,7 @@
             service: options.service.clone(),
             heartbeat_ms: options.heartbeat_ms,
             flow_idle_ms: options.flow_idle_ms,
+            opening_policy: options.opening_policy,
             seed: process.seed,
         };
         let shared = Arc::new(Shared {
@@ -295,7 +297,14 @@
             } => {
                 self.metrics.forwarded.increment(1);
                 let packet = (packet, kept);
-                self.send_packet(to, search, PeerMessage::Forward, packet, segment, buffer);
+                let message = |search: Search| match search.least_loaded {
+                    Some(least_loaded) => PeerMessage::ForwardOpening {
+                        search,
+                        least_loaded,
+                    },
+                    None => PeerMessage::Forward(search),
+                };
+                self.send_packet(to, search, message, packet, segment, buffer);
             }
             AgentAction::ReturnToBalancer {
                 search,
@@ -305,6 +314,12 @@
                 let packet = (packet, kept);
                 self.send_packet(to, search, PeerMessage::Exhausted, packet, segment, buffer);
             }
+            AgentAction::ReturnOverloaded { search } => {
+                self.metrics.refused_openings.increment(1);
+                let to = search.balancer;
+                let packet = (packet, None);
+                self.send_packet(to, search, PeerMessage::Overloaded, packet, segment, buffer);
+            }
             AgentAction::ReturnOwnerLost {
                 search,
                 owner,
@@ -430,6 +445,17 @@
                 let event = GossipEvent::Message { from, gossip };
                 self.handle(AgentEvent::Gossip(event), &mut [], None);
             }
+            Ok((
+                PeerMessage::ForwardOpening {
+                    mut search,
+                    least_loaded,
+                },
+                packet,
+            )) => {
+                let start = datagram.len() - packet.len();
+                search.least_loaded = Some(least_loaded);
+                self.handle_forwarded(&mut datagram[start..], from, search);
+            }
             Ok((PeerMessage::Forward(search), packet)) => {
                 let start = datagram.len() - packet.len();
                 self.handle_forwarded(&mut datagram[start..], from, search);
@@ -449,6 +475,7 @@
             }
             Ok((
                 PeerMessage::Exhausted(_)
+                | PeerMessage::Overloaded(_)
                 | PeerMessage::OwnerLost { .. }
                 | PeerMessage::NotOwned { .. }
                 | PeerMessage::FlowOwner { .. },
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -312,6 +312,15 @@
                     },
                 );
             }
+            Ok((PeerMessage::Overloaded(search), packet)) => {
+                let start = datagram.len() - packet.len();
+                self.handle_returned(
+                    &mut datagram[start..],
+                    from,
+                    search,
+                    |machine, search, segment| machine.handle_overloaded(now, search, segment),
+                );
+            }
             Ok((PeerMessage::OwnerLost { search, owner }, packet)) => {
                 let start = datagram.len() - packet.len();
                 self.handle_returned(
@@ -331,6 +340,7 @@
             }
             Ok((
                 PeerMessage::Forward(_)
+                | PeerMessage::ForwardOpening { .. }
                 | PeerMessage::RegisterFlows(_)
                 | PeerMessage::Query(_)
                 | PeerMessage::RelayQuery { .. },
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use hawthorntide_opaque::OpeningPolicy;
 use hawthorntide_relay::{
     ProcessOptions, RelayAgent, RelayAgentOptions, RelayBalancer, RelayBalancerOptions,
 };
@@ -99,6 +100,7 @@
         caller_port: 27_721,
         heartbeat_ms: DurationMs(500),
         flow_idle_ms: DurationMs(60_000),
+        opening_policy: OpeningPolicy::default(),
     }
 }
 
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -121,6 +121,7 @@
     78 OpeningLimited "opening-limited" NotApplicable Yes "The limit on new flows was reached at the balancer.";
     79 HopLimit "hop-limit" NotApplicable No "A packet has reached the limit on relay hops.";
     80 SourceUnknown "source-unknown" NotApplicable No "A packet came from a process that is not a member of the cluster.";
+    81 Overloaded "overloaded" NotApplicable Yes "No upstream of the service can serve a new flow in time.";
     100 PromiseBroken "promise-broken" NotApplicable No "A trial or check found that a guarantee was violated.";
 }
 
--- a/src/opaque.rs
+++ b/src/opaque.rs
@@ -3,8 +3,9 @@
 use std::path::Path;
 
 use hawthorntide_configuration::{
-    OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings, load_settings,
+    HandOffRule, OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings, load_settings,
 };
+use hawthorntide_opaque::{HandOff, OpeningPolicy};
 use hawthorntide_relay::{
     ProcessOptions, RelayAgent, RelayAgentOptions, RelayBalancer, RelayBalancerOptions, StartError,
 };
@@ -58,6 +59,13 @@
         caller_port: settings.data_address.port(),
         heartbeat_ms: settings.heartbeat_ms,
         flow_idle_ms: settings.flow_idle_ms,
+        opening_policy: OpeningPolicy {
+            hand_off: match settings.hand_off {
+                HandOffRule::FirstFree => HandOff::FirstFree,
+                HandOffRule::LeastLoaded => HandOff::LeastLoaded,
+            },
+            refuses_when_full: settings.refuses_when_full,
+        },
     };
     log_start("agent", &options.process);
     let agent = RelayAgent::spawn(options).await.map_err(failure)?;
