--- a/src/cli.rs
+++ b/src/cli.rs
@@ -31,7 +31,7 @@
     Balancer(RoleArguments),
     /// Sends one request to a service and prints its outcome.
     Call(CallArguments),
-    /// Validates settings files, profiles and services.
+    /// Validates settings files, profiles, services and routes.
     Check(CheckArguments),
     /// Lists the result codes.
     Codes,
@@ -64,12 +64,37 @@
 #[command(after_help = "Examples:
   hawthorntide check balancer.jsonc
   hawthorntide check profiles/*.jsonc services/*.jsonc
+  hawthorntide check --routes routes.json
+  hawthorntide check --routes routes.json --in-force routes-in-force.json
+  hawthorntide check --routes routes.json --store 10.0.0.1:4001
 
-If profiles are given as well, each service must refer to one of them.")]
+If profiles are given as well, each service must refer to one of them.
+
+With --routes, the exit code is 0 without errors and warnings, 1 with warnings and 2 with errors. A
+file or store that cannot be read has its own result code.")]
 pub(crate) struct CheckArguments {
     /// Settings, profile and service files (JSON with comments).
-    #[arg(required = true)]
+    #[arg(required_unless_present = "routes", conflicts_with = "routes")]
     pub(crate) files: Vec<PathBuf>,
+    /// Configuration of opaque flows to check before it is sent (JSON).
+    #[arg(long, value_name = "FILE")]
+    pub(crate) routes: Option<PathBuf>,
+    /// Configuration in force, to show the differences (JSON).
+    #[arg(
+        long,
+        value_name = "FILE",
+        requires = "routes",
+        conflicts_with_all = ["files", "store"]
+    )]
+    pub(crate) in_force: Option<PathBuf>,
+    /// Platform store that has the configuration in force, to show the differences.
+    #[arg(
+        long,
+        value_name = "IP:PORT",
+        requires = "routes",
+        conflicts_with = "files"
+    )]
+    pub(crate) store: Option<SocketAddr>,
 }
 
 /// Arguments of `agent` and `balancer`.
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
 mod output;
 mod profile;
 mod role;
+mod route_check;
 mod service;
 mod signal;
 mod status;
@@ -37,20 +38,22 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let code = run(cli).unwrap_or_else(|failure| {
+    run(cli).unwrap_or_else(|failure| {
         output::print_failure(&failure);
-        failure.code
-    });
-    ExitCode::from(code.number())
+        ExitCode::from(failure.code.number())
+    })
 }
 
-fn run(cli: Cli) -> Result<ResultCode, Failure> {
+fn run(cli: Cli) -> Result<ExitCode, Failure> {
     let format = cli.output;
-    match cli.command {
+    let code = match cli.command {
         Command::Agent(arguments) => agent::run(&arguments),
         Command::Balancer(arguments) => balancer::run(&arguments),
         Command::Call(arguments) => block_on(call::run(arguments, format)),
-        Command::Check(arguments) => Ok(check::run(&arguments)),
+        Command::Check(arguments) => match &arguments.routes {
+            Some(path) => return block_on(route_check::run(path, &arguments, format)),
+            None => Ok(check::run(&arguments)),
+        },
         Command::Codes => codes::run(format),
         Command::Completions(arguments) => Ok(completions::run(&arguments)),
         Command::Drain(arguments) => block_on(drain::run(arguments, format)),
@@ -62,13 +65,12 @@
         Command::Status(arguments) => block_on(status::run(arguments, format)),
         Command::Timeline(arguments) => block_on(timeline::run(arguments, format)),
         Command::Trial(arguments) => Ok(trial::run(arguments)),
-    }
+    }?;
+    Ok(ExitCode::from(code.number()))
 }
 
 /// Runs an asynchronous command to completion on a single-threaded runtime.
-fn block_on(
-    command: impl Future<Output = Result<ResultCode, Failure>>,
-) -> Result<ResultCode, Failure> {
+fn block_on<T>(command: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -4,11 +4,13 @@
 mod support;
 
 use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 
 use googletest::prelude::*;
+use hawthorntide_standins::{RouteSpec, Store};
 use hawthorntide_store::{ObjectStore, StoreError, StoreOptions};
 use hawthorntide_types::{DurationMs, ResultCode, Version};
 use serde_json::{Value, json};
@@ -107,6 +109,9 @@
     for arguments in [
         &["fly"][..],
         &["check"],
+        &["check", "a.jsonc", "--routes", "routes.json"],
+        &["check", "a.jsonc", "--in-force", "routes.json"],
+        &["check", "a.jsonc", "--store", "127.0.0.1:4001"],
         &["profile", "show", "DAY"],
         &["status", "--address", "nowhere"],
         &["status"],
@@ -143,7 +148,8 @@
         expect_that!(run(&[command, "--help"]).code, eq(0));
     }
     for arguments in [
-        &["profile", "set"][..],
+        &["check"][..],
+        &["profile", "set"],
         &["profile", "edit"],
         &["service", "follow"],
         &["keys"],
@@ -243,6 +249,64 @@
     expect_that!(twice.stderr, contains_substring("belongs to the service a"));
 }
 
+/// Configuration of opaque flows without findings.
+const ROUTES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/routes.json");
+
+// Guards against scripts that send a wrong configuration because of the exit code, and against findings
+// without their file and place.
+#[gtest]
+fn check_of_routes_exits_with_the_most_severe_finding() {
+    let directory = TempDirectory::new("routes");
+    let text = std::fs::read_to_string(ROUTES).unwrap();
+    let warned = directory.write("warned.json", &text.replace("250", "4001"));
+    let wrong = directory.write("wrong.json", &text.replace("safe", "save"));
+    let clean = run(&["check", "--routes", ROUTES]);
+    expect_that!((clean.code, clean.stdout.as_str()), eq((0, "")));
+    let warning = run(&["check", "--routes", &warned]);
+    expect_that!(warning.code, eq(1));
+    let start = format!("{warned}:4:5: warning: route pages (198.18.0.1:443) has an objective");
+    expect_that!(warning.stdout, starts_with(start));
+    let error = run(&["check", "--routes", &wrong, "--output", "json"]);
+    expect_that!(error.code, eq(2));
+    let rows: Value = serde_json::from_str(&error.stdout).unwrap();
+    let place = json!(["error", wrong, 5, 82]);
+    let row = ["severity", "file", "line", "column"].map(|key| rows[0][key].clone());
+    expect_that!(json!(row), eq(&place));
+    let next = directory.write(
+        "next.json",
+        &text.replace("8,\n", "9,\n").replace("250", "200"),
+    );
+    let changed = run(&["check", "--routes", &next, "--in-force", ROUTES]);
+    expect_that!(changed.code, eq(0));
+    expect_that!(changed.stdout, contains_substring("sloMs from 250 to 200"));
+    let missing = run(&["check", "--routes", ROUTES, "--in-force", "missing.json"]);
+    expect_that!(missing.code, eq(code(ResultCode::SettingsUnreadable)));
+}
+
+// Guards against a comparison with nothing while the store has a configuration or does not answer.
+#[gtest]
+#[tokio::test]
+async fn check_of_routes_compares_with_the_store() {
+    let address = SocketAddr::from(([127, 60, 0, 1], 27_741));
+    let check = move || run(&["check", "--routes", ROUTES, "--store", &address.to_string()]);
+    let unreachable = tokio::task::spawn_blocking(check).await.unwrap();
+    expect_that!(unreachable.code, eq(code(ResultCode::Unreachable)));
+    let store = Store::bind(address).await.unwrap();
+    let empty = tokio::task::spawn_blocking(check).await.unwrap();
+    expect_that!((empty.code, empty.stdout.as_str()), eq((0, "")));
+    let route = RouteSpec {
+        service_address: SocketAddr::from(([198, 18, 0, 9], 443)),
+        service: "stockd".to_owned(),
+    };
+    store.configure(8, &[route]);
+    let compared = tokio::task::spawn_blocking(check).await.unwrap();
+    expect_that!(compared.code, eq(2));
+    let removed = "removed: route r-198.18.0.9:443 (198.18.0.9:443); its open flows end";
+    for text in ["version 8 is ignored: version 8 is in force", removed] {
+        expect_that!(compared.stdout, contains_substring(text));
+    }
+}
+
 // Guards against starting a process with wrong settings, and against an exit code that does not tell
 // why the start failed.
 #[gtest]
