--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -82,8 +82,6 @@
     indirect_probe_requester: Option<SocketAddr>,
     /// When another process last suspected the peer, without contact since.
     reported_at: Option<TimeMs>,
-    /// The failure domain of the peer is evacuated.
-    is_evacuated: bool,
 }
 
 /// How to handle another process's suspicion of a peer.
@@ -202,12 +200,6 @@
         let is_running = !self.peer.is_stopped_agent() && !self.is_unreachable(now);
         (is_running && status.phase != Phase::Gone).then_some(status)
     }
-
-    /// Returns the status if the peer is a reachable agent that may get new flows by its failure domain.
-    fn eligible_agent(&self, now: TimeMs) -> Option<&AgentStatus> {
-        let status = self.reachable_agent(now)?;
-        (!self.is_evacuated).then_some(status)
-    }
 }
 
 impl PeerView {
@@ -228,13 +220,11 @@
 
     /// Takes over the evacuated failure domains if they are newer; returns whether they changed.
     pub(crate) fn merge_evacuations(&mut self, evacuations: Evacuations) -> bool {
-        let is_changed = self.evacuations.merge(evacuations);
-        if is_changed {
-            for entry in &mut self.peers {
-                entry.is_evacuated = self.evacuations.contains(&entry.peer.failure_domain);
-            }
-        }
-        is_changed
+        self.evacuations.merge(evacuations)
+    }
+
+    fn is_evacuated(&self, entry: &PeerEntry) -> bool {
+        self.evacuations.contains(&entry.peer.failure_domain)
     }
 
     pub fn find(&self, address: SocketAddr) -> Option<&Peer> {
@@ -328,7 +318,6 @@
         peer: Peer,
         last_alive: Option<TimeMs>,
     ) -> MergeOutcome {
-        let is_evacuated = self.evacuations.contains(&peer.failure_domain);
         let index = match self.index(peer.address) {
             Ok(index) => index,
             Err(index) => {
@@ -344,7 +333,6 @@
                     is_suspicion_handled: false,
                     indirect_probe_requester: None,
                     reported_at: None,
-                    is_evacuated,
                 };
                 self.peers.insert(index, entry);
                 return MergeOutcome::Changed;
@@ -362,7 +350,6 @@
             || is_recovered;
         let is_load_changed = !entry.peer.role.is_same_load(&peer.role);
         entry.domain = DomainTag::of(&peer.failure_domain);
-        entry.is_evacuated = is_evacuated;
         entry.peer = peer;
         if let Some(last_alive) = last_alive {
             entry.last_alive = entry.last_alive.max(last_alive);
@@ -477,7 +464,7 @@
             let is_preferred_domain = entry.domain == query.preferred_domain;
             let priority = if query.is_opening {
                 let share = new_flow_share(status);
-                if !is_of_service || share == 0 || entry.is_evacuated {
+                if !is_of_service || share == 0 || self.is_evacuated(entry) {
                     continue;
                 }
                 let is_accepted = rank.rotate_right(17) % 1000 < share;
@@ -510,7 +497,8 @@
         let agents = self
             .peers
             .iter()
-            .filter_map(|entry| entry.eligible_agent(now));
+            .filter(|entry| !self.is_evacuated(entry))
+            .filter_map(|entry| entry.reachable_agent(now));
         agents
             .filter(|status| status.service == *service)
             .any(|status| new_flow_share(status) > MIN_SHARE)
@@ -530,7 +518,7 @@
             .filter(|entry| {
                 !entry.is_unreachable(now) || now.since(entry.last_alive) <= RESTART_WINDOW_MS
             })
-            .filter(|entry| !visited.contains(&entry.peer.address) && !entry.is_evacuated)
+            .filter(|entry| !visited.contains(&entry.peer.address) && !self.is_evacuated(entry))
             .filter_map(|entry| entry.peer.agent())
             .filter(|status| status.service == *service)
             .any(|status| matches!(status.phase, Phase::Joining | Phase::Serving))
--- a/crates/opaque/tests/even_load.rs
+++ b/crates/opaque/tests/even_load.rs
@@ -315,22 +315,20 @@
         // Each agent that hands the flow off is one more visit.
         for _ in 0..10 {
             let number = agent_number(to);
-            match self.forward(number, search, opening) {
-                Some((next, next_search)) => (to, search) = (next, next_search),
-                None => {
-                    let requests_left = self.random.random_range(1..=20);
-                    let open = OpenFlow {
-                        agent: number,
-                        requests_left,
-                        next_sequence: 2,
-                        requested_at: self.now,
-                    };
-                    self.flows.insert(flow, open);
-                    self.accept(number, flow);
-                    self.schedule(1.0, Event::Request(flow));
-                    return;
-                }
+            if let Some((next, next_search)) = self.forward(number, search, opening) {
+                (to, search) = (next, next_search);
+                continue;
             }
+            let open = OpenFlow {
+                agent: number,
+                requests_left: self.random.random_range(1..=20),
+                next_sequence: 2,
+                requested_at: self.now,
+            };
+            self.flows.insert(flow, open);
+            self.accept(number, flow);
+            self.schedule(1.0, Event::Request(flow));
+            return;
         }
         panic!("the flow is handed off again and again");
     }
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -32,11 +32,11 @@
     }
 }
 
-fn visited(number: u8, expected_wait_ms: u64) -> Option<VisitedAgent> {
-    Some(VisitedAgent {
+fn visited(number: u8, expected_wait_ms: u64) -> VisitedAgent {
+    VisitedAgent {
         address: peer_address(number),
         expected_wait_ms: DurationMs(expected_wait_ms),
-    })
+    }
 }
 
 // Guards deployments that do not set the policy: they hand off and accept as before, and refuse nothing.
@@ -62,7 +62,7 @@
 fn a_flow_returns_to_the_least_loaded_agent_that_it_visited() {
     let decide = |wait_ms| {
         let state = OpeningState {
-            least_loaded: visited(100, wait_ms),
+            least_loaded: Some(visited(100, wait_ms)),
             ..last_visit()
         };
         POLICY.decide(&state)
@@ -95,7 +95,7 @@
     };
     expect_that!(POLICY.decide(&retransmission), eq(OpeningDecision::Accept));
     let other = OpeningState {
-        least_loaded: visited(100, 500),
+        least_loaded: Some(visited(100, 500)),
         ..last
     };
     let back = OpeningDecision::HandBack(peer_address(100));
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -297,38 +297,28 @@
             } => {
                 self.metrics.forwarded.increment(1);
                 let packet = (packet, kept);
-                let message = |search: Search| match search.least_loaded {
-                    Some(least_loaded) => PeerMessage::ForwardOpening {
-                        search,
-                        least_loaded,
-                    },
-                    None => PeerMessage::Forward(search),
-                };
-                self.send_packet(to, search, message, packet, segment, buffer);
+                self.send_packet(to, search, forward_message, packet, segment, buffer);
             }
             AgentAction::ReturnToBalancer {
                 search,
                 packet: kept,
             } => {
-                let to = search.balancer;
                 let packet = (packet, kept);
-                self.send_packet(to, search, PeerMessage::Exhausted, packet, segment, buffer);
+                self.return_packet(search, PeerMessage::Exhausted, packet, segment, buffer);
             }
             AgentAction::ReturnOverloaded { search } => {
                 self.metrics.refused_openings.increment(1);
-                let to = search.balancer;
                 let packet = (packet, None);
-                self.send_packet(to, search, PeerMessage::Overloaded, packet, segment, buffer);
+                self.return_packet(search, PeerMessage::Overloaded, packet, segment, buffer);
             }
             AgentAction::ReturnOwnerLost {
                 search,
                 owner,
                 packet: kept,
             } => {
-                let to = search.balancer;
                 let message = |search| PeerMessage::OwnerLost { search, owner };
                 let packet = (packet, kept);
-                self.send_packet(to, search, message, packet, segment, buffer);
+                self.return_packet(search, message, packet, segment, buffer);
             }
             AgentAction::AnswerNotOwned { to, flow } => {
                 let message = PeerMessage::NotOwned { flow };
@@ -383,6 +373,19 @@
         perform_gossip(&self.peers, vec![action], buffer);
     }
 
+    /// Returns a packet of a caller to its balancer.
+    fn return_packet(
+        &self,
+        search: Search,
+        message: impl FnOnce(Search) -> PeerMessage,
+        packet: (&mut [u8], Option<Vec<u8>>),
+        segment: Option<&Segment>,
+        buffer: &mut Vec<u8>,
+    ) {
+        let to = search.balancer;
+        self.send_packet(to, search, message, packet, segment, buffer);
+    }
+
     /// Sends a packet of a caller to another process: the one that the agent kept, if there is one,
     /// otherwise the one of the event.
     fn send_packet(
@@ -572,6 +575,17 @@
     }
 }
 
+/// Returns the message that forwards a packet of a caller to another agent.
+const fn forward_message(search: Search) -> PeerMessage {
+    match search.least_loaded {
+        Some(least_loaded) => PeerMessage::ForwardOpening {
+            search,
+            least_loaded,
+        },
+        None => PeerMessage::Forward(search),
+    }
+}
+
 /// Logs the identifier of a request together with the flow that carries it, and how long it waited
 /// for a slot.
 fn log_request(segment: Option<&Segment>, packet: &[u8], waited_ms: DurationMs) {
