Limit the new flows of cold upstreams where the configuration asks for it

The warm-up time in heartbeats decided nothing. The agent of a cold upstream now counts the new flows of the last second and passes on what exceeds the rate that operators set for the service (coldPerS), with the tolerance of the platform (coldExcess, coldSlack); what no agent may take is refused at once.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -20,7 +20,8 @@
 pub use lost::{LostObject, lost_objects};
 pub use object_check::{Catalog, check_profile, check_service, check_service_file};
 pub use opaque_settings::{
-    HandOffRule, OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings,
+    ColdStartSettings, HandOffRule, OpaqueAgentSettings, OpaqueBalancerSettings,
+    OpaqueProcessSettings,
 };
 pub use problem::SettingsProblem;
 pub use replica::{
--- a/crates/configuration/src/opaque_settings.rs
+++ b/crates/configuration/src/opaque_settings.rs
@@ -9,6 +9,8 @@
 use crate::section::Section;
 use crate::settings::{LogSettings, parse_error, read_log};
 
+const MAX_COLD_START_FACTOR: f64 = 1_000.0;
+
 const MAX_HEARTBEAT_MS: u64 = 60_000;
 
 const HAND_OFF_RULE: &str = "\"first_free\" or \"least_loaded\" is accepted";
@@ -43,6 +45,17 @@
     pub drain_limit_ms: DurationMs,
     /// Whether operators evacuate failure domains through the platform store. Costs three watches.
     pub has_evacuations: bool,
+    /// Tolerance of the platform for the new flows of cold upstreams; `None` without such a bound.
+    pub cold_start: Option<ColdStartSettings>,
+}
+
+/// Section `cold_start`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStartSettings {
+    /// Factor on the rate that the operator sets for a service.
+    pub excess: f64,
+    /// New flows in a second on top of it.
+    pub slack: f64,
 }
 
 /// Settings of an agent for opaque flows.
@@ -117,11 +130,26 @@
         let data_address = root.address("data_address");
         let drain_limit_ms = root.number("drain_limit_ms", 1..=MAX_DRAIN_MS);
         let has_evacuations = root.flag("evacuations");
+        let cold_start = root.optional_section("cold_start");
+        let cold_start = cold_start.and_then(ColdStartSettings::read);
         Some(Self {
             process: process?,
             data_address: data_address?,
             drain_limit_ms: DurationMs(drain_limit_ms?),
             has_evacuations,
+            cold_start,
+        })
+    }
+}
+
+impl ColdStartSettings {
+    fn read(section: Section<'_>) -> Option<Self> {
+        let excess = section.number("excess", 0.0..=MAX_COLD_START_FACTOR);
+        let slack = section.number("slack", 0.0..=MAX_COLD_START_FACTOR);
+        section.finish();
+        Some(Self {
+            excess: excess?,
+            slack: slack?,
         })
     }
 }
--- a/crates/configuration/tests/opaque_settings.rs
+++ b/crates/configuration/tests/opaque_settings.rs
@@ -37,6 +37,7 @@
     );
     expect_that!(settings.process.seed_addresses.len(), eq(1));
     expect_false!(settings.has_evacuations);
+    expect_that!(settings.cold_start, none());
     expect_that!(settings.process.log.format, eq(LogFormat::Json));
     expect_that!(settings.process.log.output, eq(LogOutput::Stdout));
 }
@@ -70,6 +71,17 @@
         ),
         (BALANCER.replace("10.1.0.10:7720", "7720"), "peer_address"),
         (BALANCER.replace("\"stdout\"", "\"file\""), "log.output"),
+        (
+            BALANCER.replace(
+                "\"log\"",
+                "\"cold_start\": { \"excess\": -1, \"slack\": 5 }, \"log\"",
+            ),
+            "cold_start.excess",
+        ),
+        (
+            BALANCER.replace("\"log\"", "\"cold_start\": { \"excess\": 1.5 }, \"log\""),
+            "cold_start.slack",
+        ),
         (AGENT.replace("770", "0"), "heartbeat_ms"),
         (AGENT.replace("\"stockd\"", "\"\""), "service"),
         (
@@ -100,12 +112,15 @@
 }
 
 /// Renders a template like the platform does; supports only what the templates in `deploy/` use.
-fn render(template: &str, has_evacuate_bound: bool) -> String {
-    let (start, end) = ("{{#bounds.evacuateMs}}", "{{/bounds.evacuateMs}}");
-    let template = match (template.split_once(start), template.split_once(end)) {
-        (Some((before, _)), Some((_, after))) if !has_evacuate_bound => format!("{before}{after}"),
-        _ => template.replace(start, "").replace(end, ""),
-    };
+fn render(template: &str, has_bounds: bool) -> String {
+    let mut template = template.to_owned();
+    for name in ["bounds.evacuateMs", "bounds.coldExcess"] {
+        let (start, end) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+        template = match (template.split_once(&start), template.split_once(&end)) {
+            (Some((before, _)), Some((_, after))) if !has_bounds => format!("{before}{after}"),
+            _ => template.replace(&start, "").replace(&end, ""),
+        };
+    }
     let seeds = "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}";
     let mut text = template.replace(seeds, "\"10.1.0.10:8166\",\"10.2.0.40:8166\"");
     for (name, value) in [
@@ -121,6 +136,8 @@
         ("listen.ready", "10.1.0.12:8167"),
         ("listen.control", "10.1.0.12:8166"),
         ("platform.addr", "10.200.1.7:8169"),
+        ("bounds.coldExcess", "1.5"),
+        ("bounds.coldSlack", "5"),
     ] {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
@@ -131,18 +148,19 @@
 #[gtest]
 fn templates_render_to_valid_settings() {
     let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
-    for (name, has_evacuate_bound) in [
+    for (name, has_bounds) in [
         ("balancer.jsonc", false),
         ("balancer.jsonc", true),
         ("agent.jsonc", false),
     ] {
         let template = std::fs::read_to_string(deploy.join(name)).unwrap();
-        let text = render(&template, has_evacuate_bound);
+        let text = render(&template, has_bounds);
         expect_that!(text, not(contains_substring("{{")));
         let settings = check_settings(&text, name);
         expect_that!(settings.is_ok(), eq(true), "{name}: {settings:?}");
         if let Ok(Settings::OpaqueBalancer(settings)) = settings {
-            expect_that!(settings.has_evacuations, eq(has_evacuate_bound));
+            expect_that!(settings.has_evacuations, eq(has_bounds));
+            expect_that!(settings.cold_start.is_some(), eq(has_bounds));
         }
     }
 }
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -9,6 +9,7 @@
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, PerMille, Phase, ResultCode, ServiceName, TimeMs};
 
+use crate::cold_start::ColdStartWindow;
 use crate::flow_table::{CallerPacket, FlowChange, FlowTable};
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
@@ -194,6 +195,8 @@
     requests: Requests,
     pending: PendingPackets,
     opening_policy: OpeningPolicy,
+    /// New flows of the last second.
+    recent_flows: ColdStartWindow,
     phase: Phase,
     /// The process is about to exit.
     is_stopping: bool,
@@ -219,6 +222,7 @@
             requests: Requests::new(),
             pending: PendingPackets::new(options.seed as u32),
             opening_policy: options.opening_policy,
+            recent_flows: ColdStartWindow::default(),
             phase: Phase::Joining,
             is_stopping: false,
             started_at: now,
@@ -379,6 +383,10 @@
         packet: &[u8],
         out: &mut Vec<AgentAction>,
     ) {
+        if !self.has_room_while_cold(now, &search) {
+            self.leave_cold(now, search, segment, out);
+            return;
+        }
         let is_handed_back = search.visited.contains(&self.local_address());
         let state = self.opening_state(now, &search, segment);
         let decision = if is_handed_back {
@@ -389,7 +397,7 @@
         match decision {
             OpeningDecision::Accept => self.deliver(now, search, segment, Some(packet), out),
             OpeningDecision::HandOff => {
-                search.least_loaded = self
+                search.terms.least_loaded = self
                     .opening_policy
                     .least_loaded(self.local_address(), &state);
                 self.forward_to_next(now, search, segment, None, out);
@@ -513,10 +521,42 @@
         });
     }
 
-    fn opening_state(&self, now: TimeMs, search: &Search, segment: &Segment) -> OpeningState {
-        let recent = self.pending.recent_openings();
-        let expected = recent.filter(|flow| !self.flows.is_busy(flow)).count() as u32;
-        let wait = self.requests.expected_wait(now, &search.class);
+    /// Returns whether the upstream is warm, or may get another new flow in this second although it is cold.
+    fn has_room_while_cold(&mut self, now: TimeMs, search: &Search) -> bool {
+        let Some(limit) = search.terms.cold_limit else {
+            return true;
+        };
+        !self.upstream.is_cold(now) || self.recent_flows.has_room(now, limit)
+    }
+
+    /// Forwards a new flow that the cold upstream must not get: to an agent that it has not visited, or back to a
+    /// busy one. If none is left, the flow is refused at once: what waited for the next second would exceed
+    /// the limit again.
+    fn leave_cold(
+        &mut self,
+        now: TimeMs,
+        mut search: Search,
+        segment: &Segment,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let is_retransmission = matches!(segment.kind, SegmentKind::Opening { attempt: 1.. });
+        if self.has_next_agent(now, &search, segment) || is_retransmission {
+            self.forward_to_next(now, search, segment, None, out);
+            return;
+        }
+        search.visited.push(self.local_address());
+        out.push(match search.terms.least_loaded.take() {
+            Some(busy) => AgentAction::ForwardToAgent {
+                to: busy.address,
+                search,
+                packet: None,
+            },
+            None => AgentAction::ReturnOverloaded { search },
+        });
+    }
+
+    /// Returns whether another agent, which the flow has not visited, may accept it.
+    fn has_next_agent(&self, now: TimeMs, search: &Search, segment: &Segment) -> bool {
         let mut visited = search.visited.clone();
         visited.push(self.local_address());
         let query = AgentQuery {
@@ -526,15 +566,23 @@
             visited: &visited,
             is_opening: true,
         };
+        self.gossip.view().next_agent(now, query).is_some()
+    }
+
+    fn opening_state(&self, now: TimeMs, search: &Search, segment: &Segment) -> OpeningState {
+        let recent = self.pending.recent_openings();
+        let expected = recent.filter(|flow| !self.flows.is_busy(flow)).count() as u32;
+        let wait = self.requests.expected_wait(now, &search.class);
         OpeningState {
             requests: self.flows.busy_flows() + expected,
             slots: self.upstream.slots(),
             expected_wait_ms: wait.wait_ms,
             is_overloaded: wait.is_hopeless,
             visited: search.visited.len(),
-            has_next: self.gossip.view().next_agent(now, query).is_some(),
+            has_next: self.has_next_agent(now, search, segment),
             is_retransmission: matches!(segment.kind, SegmentKind::Opening { attempt: 1.. }),
-            least_loaded: search.least_loaded,
+            least_loaded: search.terms.least_loaded,
+            cold_limit: search.terms.cold_limit,
         }
     }
 
@@ -546,8 +594,12 @@
         opening: Option<&[u8]>,
         out: &mut Vec<AgentAction>,
     ) {
+        let has_cold_limit = search.terms.cold_limit.is_some();
         let token = self.record_delivery(now, search, segment);
         if let Some(packet) = opening {
+            if has_cold_limit {
+                self.recent_flows.record(now);
+            }
             self.pending.add_opening(PendingOpening {
                 segment: *segment,
                 delivered_at: now,
@@ -893,9 +945,12 @@
     }
 
     fn accepts_new_flows(&self) -> bool {
+        self.phase == Phase::Serving && !self.is_evacuated()
+    }
+
+    fn is_evacuated(&self) -> bool {
         let evacuations = self.gossip.view().evacuations();
-        let is_evacuated = evacuations.contains(&self.gossip.local_peer().failure_domain);
-        self.phase == Phase::Serving && !is_evacuated
+        evacuations.contains(&self.gossip.local_peer().failure_domain)
     }
 
     /// Updates the status that is published by gossip.
@@ -929,7 +984,11 @@
 
     fn handle_gossip(&mut self, now: TimeMs, event: GossipEvent, out: &mut Vec<AgentAction>) {
         let mut actions = Vec::new();
+        let was_evacuated = self.is_evacuated();
         self.gossip.handle(now, event, &mut actions);
+        if was_evacuated && !self.is_evacuated() {
+            self.upstream.forget_temperature();
+        }
         out.extend(actions.into_iter().map(AgentAction::Gossip));
     }
 }
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -9,8 +9,9 @@
     ConfigurationVersion, DurationMs, NodeId, ResultCode, ServiceName, TimeMs,
 };
 
+use crate::cold_start::ColdStartTolerance;
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
-use crate::message::Search;
+use crate::message::{OpeningTerms, Search};
 use crate::peer::{BalancerStatus, Peer, PeerRole};
 use crate::placement::DomainTag;
 use crate::route::{Configuration, RouteTable};
@@ -206,6 +207,7 @@
     cached_flows: HashMap<FlowKey, CachedFlow>,
     queries: HashMap<FlowKey, OwnerQuery>,
     last_expiry: TimeMs,
+    cold_start_tolerance: Option<ColdStartTolerance>,
 }
 
 impl BalancerMachine {
@@ -223,9 +225,21 @@
             cached_flows: HashMap::new(),
             queries: HashMap::new(),
             last_expiry: TimeMs::default(),
+            cold_start_tolerance: None,
         }
     }
 
+    /// Limits the new flows of cold upstreams where the configuration asks for it. Without a tolerance they are
+    /// not limited.
+    #[must_use]
+    pub const fn with_cold_start_tolerance(
+        mut self,
+        tolerance: Option<ColdStartTolerance>,
+    ) -> Self {
+        self.cold_start_tolerance = tolerance;
+        self
+    }
+
     pub const fn gossip(&self) -> &GossipMachine {
         &self.gossip
     }
@@ -474,7 +488,7 @@
             is_fallback_service: Some(service) != selected_service,
             visited: Vec::new(),
             is_parallel: false,
-            least_loaded: None,
+            terms: self.terms(service, segment),
             class: route.class,
         };
         match segment.kind {
@@ -491,6 +505,20 @@
         }
     }
 
+    /// Returns the terms of a new flow to `service`; other packets have none.
+    fn terms(&self, service: &ServiceName, segment: &Segment) -> OpeningTerms {
+        if !segment.is_opening() {
+            return OpeningTerms::default();
+        }
+        let configuration = self.routes.configuration();
+        let rate_per_s = configuration.and_then(|it| it.cold_rate_per_s(service));
+        let limit = |rate_per_s| self.cold_start_tolerance?.limit(rate_per_s);
+        OpeningTerms {
+            least_loaded: None,
+            cold_limit: rate_per_s.and_then(limit),
+        }
+    }
+
     /// Selects the agent for an opening packet, and caches it: later packets go to the same agent even
     /// if the order of the agents changes. A new flow with the addresses of an old one is placed like any
     /// other, whoever owned the old one.
@@ -593,7 +621,7 @@
             search.service = service.clone();
             search.is_fallback_service = true;
             search.visited.clear();
-            search.least_loaded = None;
+            search.terms = self.terms(service, segment);
             if let Some(to) = self.next_agent(now, segment, &search) {
                 return BalancerDecision::Forward { to, search };
             }
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod balancer;
 mod class;
+mod cold_start;
 mod evacuation;
 mod flow_table;
 mod gossip;
@@ -27,16 +28,17 @@
 pub use agent::{AgentAction, AgentEvent, AgentMachine, AgentOptions};
 pub use balancer::{BalancerDecision, BalancerMachine, ConfigurationTask, QueryPart, QueryResult};
 pub use class::RequestClass;
+pub use cold_start::{ColdStartLimit, ColdStartTolerance};
 pub use evacuation::{Evacuations, MAX_EVACUATED_DOMAINS};
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{
-    Gossip, MessageError, PeerMessage, PeerUpdate, ReplyKind, Search, decode, encode,
+    Gossip, MessageError, OpeningTerms, PeerMessage, PeerUpdate, ReplyKind, Search, decode, encode,
 };
 pub use opening::{HandOff, OpeningDecision, OpeningPolicy, OpeningState, VisitedAgent};
 pub use peer::{AgentStatus, BalancerStatus, Peer, PeerRole};
 pub use placement::DomainTag;
 pub use record::{FlowRecord, MAX_RECORDED_FLOWS, RecordedFlow, UpstreamIncarnation};
-pub use route::{Backend, Configuration, Route, RouteTable};
+pub use route::{Backend, ColdStart, Configuration, Route, RouteTable};
 pub use segment::{Segment, SegmentKind};
 pub use upstream::UpstreamReport;
 pub use view::{PeerView, UNREACHABLE_AFTER_MS};
--- a/crates/opaque/src/message.rs
+++ b/crates/opaque/src/message.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::class::RequestClass;
+use crate::cold_start::ColdStartLimit;
 use crate::evacuation::Evacuations;
 use crate::opening::VisitedAgent;
 use crate::peer::Peer;
@@ -32,15 +33,23 @@
     /// forwarding it. Not part of the encoded message: `Query` and `RelayQuery` imply it.
     #[serde(skip)]
     pub is_parallel: bool,
-    /// The agent with the shortest expected wait that an opening packet visited. Not part of the encoded message:
-    /// `ForwardOpening` carries it.
+    /// Not part of the encoded message: `ForwardOpening` carries them.
     #[serde(skip)]
-    pub least_loaded: Option<VisitedAgent>,
+    pub terms: OpeningTerms,
     /// Class of the route. Not part of the encoded message: it travels in the header of the packet.
     #[serde(skip)]
     pub class: RequestClass,
 }
 
+/// What agents need to know about a new flow, beyond where it has been.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OpeningTerms {
+    /// The agent with the shortest expected wait that the opening packet visited.
+    pub least_loaded: Option<VisitedAgent>,
+    /// Limit of the service for its cold upstreams.
+    pub cold_limit: Option<ColdStartLimit>,
+}
+
 /// Message between processes; `Forward`, `ForwardOpening`, `Exhausted`, `Overloaded`, `OwnerLost`, `Query` and
 /// `RelayQuery` are followed by the packet.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -75,13 +84,9 @@
         search: Search,
         agents: Vec<SocketAddr>,
     },
-    /// Opening packet, sent to another agent because the upstreams that it visited are busy. Earlier versions do
-    /// not know it; agents send it only by their setting.
-    ForwardOpening {
-        search: Search,
-        /// The agent with the shortest expected wait.
-        least_loaded: VisitedAgent,
-    },
+    /// Opening packet with terms, sent to an agent. Earlier versions do not know it; it is sent only if settings or
+    /// the configuration ask for terms.
+    ForwardOpening { search: Search, terms: OpeningTerms },
     /// Opening packet, returned to its balancer because no upstream that it visited can serve it in time.
     Overloaded(Search),
 }
@@ -119,6 +124,17 @@
     pub evacuations: Option<Evacuations>,
 }
 
+impl PeerMessage {
+    /// Returns the message that forwards a packet of a caller to an agent.
+    pub fn forward(search: Search) -> Self {
+        if search.terms == OpeningTerms::default() {
+            return Self::Forward(search);
+        }
+        let terms = search.terms;
+        Self::ForwardOpening { search, terms }
+    }
+}
+
 /// Error of encoding or decoding a message.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub enum MessageError {
--- a/crates/opaque/src/opening.rs
+++ b/crates/opaque/src/opening.rs
@@ -9,6 +9,8 @@
 use hawthorntide_types::DurationMs;
 use serde::{Deserialize, Serialize};
 
+use crate::cold_start::ColdStartLimit;
+
 /// A busy agent hands off a new flow only while the flow has visited fewer agents than this.
 const MAX_BUSY_HANDOFFS: usize = 2;
 
@@ -46,12 +48,6 @@
     pub expected_wait_ms: DurationMs,
 }
 
-impl VisitedAgent {
-    fn is_clearly_below(&self, wait_ms: DurationMs) -> bool {
-        self.expected_wait_ms.get() + MIN_GAIN_MS.get() <= wait_ms.get()
-    }
-}
-
 /// What an agent knows when a new flow arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct OpeningState {
@@ -69,6 +65,8 @@
     pub is_retransmission: bool,
     /// The agent with the shortest expected wait among those visited.
     pub least_loaded: Option<VisitedAgent>,
+    /// Limit for cold upstreams, one of which may be the last that the flow visits.
+    pub cold_limit: Option<ColdStartLimit>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -96,7 +94,7 @@
             return OpeningDecision::HandOff;
         }
         match state.least_loaded {
-            Some(best) if is_full || best.is_clearly_below(state.expected_wait_ms) => {
+            Some(best) if is_full || self.is_better(best, state) => {
                 OpeningDecision::HandBack(best.address)
             }
             None if is_full && !state.is_retransmission => OpeningDecision::Refuse,
@@ -104,10 +102,18 @@
         }
     }
 
-    /// Returns the agent with the shortest expected wait, this one at `address` included; `None` if the policy
-    /// does not need it or none can serve the flow.
+    fn is_better(self, visited: VisitedAgent, state: &OpeningState) -> bool {
+        let gained_ms = state
+            .expected_wait_ms
+            .get()
+            .saturating_sub(visited.expected_wait_ms.get());
+        self.hand_off == HandOff::LeastLoaded && gained_ms >= MIN_GAIN_MS.get()
+    }
+
+    /// Returns the agent with the shortest expected wait, this one at `address` included; `None` if nothing
+    /// may send the flow back or none can serve it.
     pub fn least_loaded(self, address: SocketAddr, state: &OpeningState) -> Option<VisitedAgent> {
-        if self.hand_off == HandOff::FirstFree {
+        if self.hand_off == HandOff::FirstFree && state.cold_limit.is_none() {
             return None;
         }
         let is_full = self.refuses_when_full && state.is_overloaded;
--- a/crates/opaque/src/route.rs
+++ b/crates/opaque/src/route.rs
@@ -27,8 +27,16 @@
     pub class: RequestClass,
 }
 
+/// Limit that an operator sets for the cold upstreams of a service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ColdStart {
+    pub service: ServiceName,
+    /// New flows per second that a cold upstream bears; above 0.
+    pub rate_per_s: f64,
+}
+
 /// Versioned set of routes.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Configuration {
     /// Version set by the operator.
     pub version: ConfigurationVersion,
@@ -40,6 +48,9 @@
     /// earlier builds.
     #[serde(default)]
     pub has_unreadable_routes: bool,
+    /// Services with a limit for cold upstreams, sorted. Absent in configurations of earlier builds.
+    #[serde(default)]
+    pub cold_starts: Vec<ColdStart>,
 }
 
 /// Routes in force; their version never decreases.
@@ -61,8 +72,17 @@
             routes,
             flow_idle_ms,
             has_unreadable_routes: false,
+            cold_starts: Vec::new(),
         }
     }
+
+    /// Returns the new flows per second that a cold upstream of the service bears, if they are limited.
+    pub fn cold_rate_per_s(&self, service: &ServiceName) -> Option<f64> {
+        let index = self
+            .cold_starts
+            .binary_search_by(|it| it.service.cmp(service));
+        Some(self.cold_starts[index.ok()?].rate_per_s)
+    }
 }
 
 impl Route {
--- a/crates/opaque/src/upstream.rs
+++ b/crates/opaque/src/upstream.rs
@@ -30,6 +30,9 @@
 /// Weight of a failing upstream; the few flows that it gets show whether it has recovered.
 const RECOVERY_WEIGHT: Weight = Weight(50);
 
+/// Limit on the warm-up time that a heartbeat reports; a longer one is a mistake.
+const MAX_COLD_MS: DurationMs = DurationMs(600_000);
+
 /// Slots of an upstream before its first heartbeat.
 const DEFAULT_SLOTS: u32 = 2;
 
@@ -98,6 +101,8 @@
     /// When the first packet that needs an answer was delivered since the last activity.
     waiting_since: Option<TimeMs>,
     last_probe: Option<TimeMs>,
+    /// End of the warm-up time that the last heartbeat reported; `None` while no heartbeat tells it.
+    cold_until: Option<TimeMs>,
     /// The upstream's address refused a connection.
     is_dead: bool,
 }
@@ -113,6 +118,7 @@
             failure_rate: 0,
             waiting_since: None,
             last_probe: None,
+            cold_until: None,
             is_dead: false,
         }
     }
@@ -141,6 +147,16 @@
         self.is_dead
     }
 
+    /// Returns whether the upstream is or may be cold.
+    pub(crate) fn is_cold(&self, now: TimeMs) -> bool {
+        self.cold_until.is_none_or(|until| now < until)
+    }
+
+    /// Takes the upstream for cold until its next heartbeat: it may have become cold since the last one.
+    pub(crate) const fn forget_temperature(&mut self) {
+        self.cold_until = None;
+    }
+
     /// Returns whether the upstream sends heartbeats, and its address has refused no connection since
     /// the last one.
     pub(crate) fn is_alive(&self, now: TimeMs) -> bool {
@@ -176,6 +192,8 @@
         let known = self.report.as_ref();
         let is_same_incarnation = known.is_none_or(|known| report.is_same_incarnation(known));
         self.last_report = now;
+        let cold_for_ms = DurationMs(report.cold_for_ms).min(MAX_COLD_MS);
+        self.cold_until = Some(now + cold_for_ms);
         self.contender = None;
         self.record_activity();
         self.report = Some(report);
--- a/crates/opaque/tests/even_load.rs
+++ b/crates/opaque/tests/even_load.rs
@@ -11,8 +11,8 @@
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, Backend, BalancerDecision,
     BalancerMachine, BalancerStatus, Configuration, Gossip, GossipEvent, HandOff, OpeningPolicy,
-    Peer, PeerRole, PeerUpdate, ReplyKind, RequestClass, Route, Search, Segment, SegmentKind,
-    UpstreamReport,
+    OpeningTerms, Peer, PeerRole, PeerUpdate, ReplyKind, RequestClass, Route, Search, Segment,
+    SegmentKind, UpstreamReport,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{
@@ -373,7 +373,7 @@
             is_fallback_service: false,
             visited: Vec::new(),
             is_parallel: false,
-            least_loaded: None,
+            terms: OpeningTerms::default(),
             class: RequestClass {
                 kind: WorkKind::Stream,
                 urgency: Urgency::Normal,
--- a/crates/opaque/tests/flows.rs
+++ b/crates/opaque/tests/flows.rs
@@ -4,7 +4,7 @@
 
 use common::{Behaviour, Fleet, Outcome, established, flow, opening, peer_address};
 use googletest::prelude::*;
-use hawthorntide_opaque::{AgentEvent, SegmentKind};
+use hawthorntide_opaque::{AgentEvent, OpeningTerms, SegmentKind};
 use hawthorntide_types::{Phase, ResultCode};
 
 // A balancer must not send packets of a flow that another balancer opened to a second agent.
@@ -338,7 +338,7 @@
         is_fallback_service: false,
         visited: Vec::new(),
         is_parallel: false,
-        least_loaded: None,
+        terms: OpeningTerms::default(),
         class: hawthorntide_opaque::RequestClass::default(),
     };
     let event = AgentEvent::Forwarded {
--- a/crates/opaque/tests/large_fleet.rs
+++ b/crates/opaque/tests/large_fleet.rs
@@ -5,8 +5,8 @@
 use common::{Fleet, IDLE_MS, Outcome, established, flow, peer_address, service, service_address};
 use googletest::prelude::*;
 use hawthorntide_opaque::{
-    AgentEvent, Backend, BalancerDecision, Configuration, DomainTag, PeerMessage, RequestClass,
-    Route, Search, encode,
+    AgentEvent, Backend, BalancerDecision, Configuration, DomainTag, OpeningTerms, PeerMessage,
+    RequestClass, Route, Search, encode,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{ConfigurationVersion, ResultCode};
@@ -212,7 +212,7 @@
         is_fallback_service: false,
         visited: Vec::new(),
         is_parallel: false,
-        least_loaded: None,
+        terms: OpeningTerms::default(),
         class: RequestClass::default(),
     };
     let owner = peer_address(agent);
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -29,6 +29,7 @@
         has_next: true,
         is_retransmission: false,
         least_loaded: None,
+        cold_limit: None,
     }
 }
 
--- a/crates/opaque/tests/requests.rs
+++ b/crates/opaque/tests/requests.rs
@@ -7,8 +7,8 @@
 use common::{HEARTBEAT_MS, IDLE_MS, agent_role, flow, opening, peer, report, service};
 use googletest::prelude::*;
 use hawthorntide_opaque::{
-    AgentAction, AgentEvent, AgentMachine, AgentOptions, DomainTag, OpeningPolicy, RequestClass,
-    Search, Segment, SegmentKind,
+    AgentAction, AgentEvent, AgentMachine, AgentOptions, DomainTag, OpeningPolicy, OpeningTerms,
+    RequestClass, Search, Segment, SegmentKind,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, Phase, TimeMs};
@@ -93,7 +93,7 @@
             is_fallback_service: false,
             visited: Vec::new(),
             is_parallel: false,
-            least_loaded: None,
+            terms: OpeningTerms::default(),
             class: RequestClass::default(),
         };
         self.handle(AgentEvent::Forwarded {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -297,7 +297,7 @@
             } => {
                 self.metrics.forwarded.increment(1);
                 let packet = (packet, kept);
-                self.send_packet(to, search, forward_message, packet, segment, buffer);
+                self.send_packet(to, search, PeerMessage::forward, packet, segment, buffer);
             }
             AgentAction::ReturnToBalancer {
                 search,
@@ -448,15 +448,9 @@
                 let event = GossipEvent::Message { from, gossip };
                 self.handle(AgentEvent::Gossip(event), &mut [], None);
             }
-            Ok((
-                PeerMessage::ForwardOpening {
-                    mut search,
-                    least_loaded,
-                },
-                packet,
-            )) => {
+            Ok((PeerMessage::ForwardOpening { mut search, terms }, packet)) => {
                 let start = datagram.len() - packet.len();
-                search.least_loaded = Some(least_loaded);
+                search.terms = terms;
                 self.handle_forwarded(&mut datagram[start..], from, search);
             }
             Ok((PeerMessage::Forward(search), packet)) => {
@@ -575,17 +569,6 @@
     }
 }
 
-/// Returns the message that forwards a packet of a caller to another agent.
-const fn forward_message(search: Search) -> PeerMessage {
-    match search.least_loaded {
-        Some(least_loaded) => PeerMessage::ForwardOpening {
-            search,
-            least_loaded,
-        },
-        None => PeerMessage::Forward(search),
-    }
-}
-
 /// Logs the identifier of a request together with the flow that carries it, and how long it waited
 /// for a slot.
 fn log_request(segment: Option<&Segment>, packet: &[u8], waited_ms: DurationMs) {
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -7,8 +7,9 @@
 
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
-    BalancerDecision, BalancerMachine, BalancerStatus, Configuration, GOSSIP_INTERVAL_MS,
-    GossipEvent, Peer, PeerMessage, PeerRole, QueryPart, QueryResult, Search, Segment, decode,
+    BalancerDecision, BalancerMachine, BalancerStatus, ColdStartTolerance, Configuration,
+    GOSSIP_INTERVAL_MS, GossipEvent, Peer, PeerMessage, PeerRole, QueryPart, QueryResult, Search,
+    Segment, decode,
 };
 use hawthorntide_platform::{
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
@@ -49,6 +50,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Whether operators evacuate failure domains through the platform store.
     pub has_evacuations: bool,
+    /// Tolerance for the new flows of cold upstreams, if they are limited.
+    pub cold_start_tolerance: Option<ColdStartTolerance>,
 }
 
 /// Running balancer; it stops when it is dropped.
@@ -81,7 +84,10 @@
         let store = process.open_store()?;
         let shared = Arc::new(Shared {
             clock: Clock::start(),
-            machine: Mutex::new(BalancerMachine::new(local_peer.clone(), process.seed)),
+            machine: Mutex::new(
+                BalancerMachine::new(local_peer.clone(), process.seed)
+                    .with_cold_start_tolerance(options.cold_start_tolerance),
+            ),
             buffer: Mutex::new(Vec::new()),
             data: bind(options.data_address).await?,
             peers: bind(process.peer_address).await?,
@@ -219,7 +225,7 @@
                     );
                 }
                 set_request_class(packet, search.class);
-                let message = PeerMessage::Forward(search);
+                let message = PeerMessage::forward(search);
                 send_message(&self.peers, to, &message, packet, &mut self.buffer());
             }
             BalancerDecision::Query { parts, search } => {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -48,6 +48,7 @@
         ready_address: address(host, 27_722),
         metrics_address: None,
         has_evacuations: true,
+        cold_start_tolerance: None,
     };
     RelayBalancer::spawn(options).await.unwrap()
 }
--- a/src/opaque.rs
+++ b/src/opaque.rs
@@ -5,7 +5,7 @@
 use hawthorntide_configuration::{
     HandOffRule, OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueProcessSettings, load_settings,
 };
-use hawthorntide_opaque::{HandOff, OpeningPolicy};
+use hawthorntide_opaque::{ColdStartTolerance, HandOff, OpeningPolicy};
 use hawthorntide_relay::{
     ProcessOptions, RelayAgent, RelayAgentOptions, RelayBalancer, RelayBalancerOptions, StartError,
 };
@@ -38,6 +38,10 @@
         ready_address: settings.process.ready_address,
         metrics_address: settings.process.metrics_address,
         has_evacuations: settings.has_evacuations,
+        cold_start_tolerance: settings.cold_start.map(|cold_start| ColdStartTolerance {
+            excess: cold_start.excess,
+            slack: cold_start.slack,
+        }),
     };
     log_start("balancer", &options.process);
     let balancer = RelayBalancer::spawn(options).await.map_err(failure)?;
