Return a new flow to its least loaded agent only once

An agent that gets a new flow back forwards it if its upstream drains, is evacuated or returns it. Each further overloaded agent sent the flow back again, so that it visited all agents of the service, each followed by the first one, with a list that grew with the fleet. The agent now removes the least loaded agent from a packet that it gets back.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -330,7 +330,7 @@
     fn handle_forwarded(
         &mut self,
         now: TimeMs,
-        search: Search,
+        mut search: Search,
         segment: &Segment,
         packet: &[u8],
         out: &mut Vec<AgentAction>,
@@ -339,6 +339,10 @@
             out.push(AgentAction::Drop(ResultCode::PacketMalformed));
             return;
         }
+        if search.visited.contains(&self.local_address()) {
+            // A flow that was handed back and is forwarded again must not return from each further agent.
+            search.least_loaded = None;
+        }
         if self.upstream.is_dead() {
             self.forward_to_next(now, search, segment, None, out);
             return;
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -2,13 +2,15 @@
 
 mod common;
 
+use std::net::SocketAddr;
+
 use common::{
     Fleet, IDLE_MS, Outcome, established, flow, opening, peer_address, service, service_address,
 };
 use googletest::prelude::*;
 use hawthorntide_opaque::{
-    Backend, Configuration, HandOff, OpeningDecision, OpeningPolicy, OpeningState, RequestClass,
-    Route, VisitedAgent,
+    AgentAction, AgentEvent, Backend, Configuration, DomainTag, HandOff, OpeningDecision,
+    OpeningPolicy, OpeningState, RequestClass, Route, Search, Segment, VisitedAgent,
 };
 use hawthorntide_types::{ConfigurationVersion, DurationMs, ResultCode};
 use proptest::prelude::{any, proptest};
@@ -106,10 +108,15 @@
 
 /// Opens flows and leaves their requests unanswered, until those that wait have waited for half of their time.
 fn overload(fleet: &mut Fleet) {
+    overload_by(fleet, 160);
+}
+
+/// Does the same with this number of flows.
+fn overload_by(fleet: &mut Fleet, flows: u16) {
     for agent in fleet.agents.values_mut() {
         agent.upstream.behaviour = common::Behaviour::Stuck;
     }
-    for caller in 0..160 {
+    for caller in 0..flows {
         let (agent, number) = fleet.open(1, flow(caller, 0)).unwrap();
         let mut request = established(flow(caller, 0), number.wrapping_add(1));
         request.sequence = request.end();
@@ -124,6 +131,47 @@
     fleet.run_for(deadline_ms / 2 + 500);
 }
 
+/// Search of an opening packet that has visited these agents.
+fn search_of(visited: &[u8]) -> Search {
+    Search {
+        balancer: peer_address(1),
+        preferred_domain: DomainTag::of(&"domain-1".parse().unwrap()),
+        service: service(0),
+        is_fallback_service: false,
+        visited: visited.iter().copied().map(peer_address).collect(),
+        is_parallel: false,
+        least_loaded: None,
+        class: RequestClass::default(),
+    }
+}
+
+fn number_of(agent: SocketAddr) -> u8 {
+    (100..112)
+        .find(|number| peer_address(*number) == agent)
+        .unwrap()
+}
+
+/// Passes an opening packet to an agent and returns the actions, which are not performed.
+fn forward(fleet: &mut Fleet, agent: u8, search: Search, segment: Segment) -> Vec<AgentAction> {
+    let event = AgentEvent::Forwarded {
+        search,
+        segment,
+        packet: &[],
+    };
+    let mut actions = Vec::new();
+    let machine = &mut fleet.agents.get_mut(&agent).unwrap().machine;
+    machine.handle(fleet.now, event, &mut actions);
+    actions
+}
+
+/// Returns the agent to which an agent forwards a packet, and its search.
+fn forwarded(actions: Vec<AgentAction>) -> Option<(SocketAddr, Search)> {
+    actions.into_iter().find_map(|action| match action {
+        AgentAction::ForwardToAgent { to, search, .. } => Some((to, search)),
+        _ => None,
+    })
+}
+
 // Flood beyond the slots of all upstreams: callers must be told at once instead of waiting for their
 // deadline; a copy of the opening packet must not be refused.
 #[gtest]
@@ -137,6 +185,28 @@
     expect_that!(fleet.reset_flows, is_empty(), "open flows stay");
 }
 
+// Drain of an upstream while all others are overloaded: a flow that was handed back to its agent must not return
+// there from each further agent that it visits.
+#[gtest]
+fn a_flow_returns_to_an_agent_only_once() {
+    let mut fleet = Fleet::with_policy(1, 12, 1, POLICY);
+    overload_by(&mut fleet, 340);
+    fleet.agents.get_mut(&100).unwrap().upstream.is_draining = true;
+    fleet.send_heartbeat(100);
+    let mut search = search_of(&[100, 101, 102, 103, 104, 105]);
+    search.least_loaded = Some(visited(100, 1));
+    let (mut to, mut visits) = (peer_address(100), 0);
+    loop {
+        visits += u32::from(to == peer_address(100));
+        let actions = forward(&mut fleet, number_of(to), search, opening(flow(900, 0), 0));
+        let Some(next) = forwarded(actions) else {
+            break;
+        };
+        (to, search) = next;
+    }
+    expect_that!(visits, eq(1));
+}
+
 // The same without the setting: nobody is refused.
 #[gtest]
 fn without_the_setting_nobody_is_refused_for_load() {
