Try each service of a route once for a refused flow

A route may name a service twice among its backends. A balancer that looked for the next service after the one that had refused a flow found the same one again, and sent the packet round between the services for as long as their load was not known. It now leaves out repeated services.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -585,8 +585,15 @@
             return self.handle_unrouted(now, segment);
         };
         let view = self.gossip.view();
-        let services = route.services_of(&segment.flow);
+        // A route may name a service more than once.
+        let mut services: Vec<&ServiceName> = Vec::new();
+        for service in route.services_of(&segment.flow) {
+            if !services.contains(&service) {
+                services.push(service);
+            }
+        }
         let mut untried = services
+            .into_iter()
             .skip_while(|service| **service != search.service)
             .skip(1);
         if let Some(service) = untried.find(|service| view.has_capacity(now, service)) {
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -9,8 +9,9 @@
 };
 use googletest::prelude::*;
 use hawthorntide_opaque::{
-    AgentAction, AgentEvent, Backend, Configuration, DomainTag, HandOff, OpeningDecision,
-    OpeningPolicy, OpeningState, RequestClass, Route, Search, Segment, VisitedAgent,
+    AgentAction, AgentEvent, Backend, BalancerDecision, Configuration, DomainTag, HandOff,
+    OpeningDecision, OpeningPolicy, OpeningState, RequestClass, Route, Search, Segment,
+    VisitedAgent,
 };
 use hawthorntide_types::{ConfigurationVersion, DurationMs, ResultCode};
 use proptest::prelude::{any, proptest};
@@ -243,3 +244,37 @@
         expect_that!(agent % 2, eq(1), "flow {caller}");
     }
 }
+
+// Guards against a packet that goes round between services of a route which names one of them twice.
+#[gtest]
+fn each_service_of_a_route_is_tried_once() {
+    let mut fleet = Fleet::with_policy(1, 6, 3, POLICY);
+    let backends = [0, 1, 2, 1].map(|number| Backend {
+        service: service(number),
+        weight: 1,
+    });
+    let route = Route {
+        service_address: service_address(0),
+        backends: backends.into(),
+        class: RequestClass::default(),
+    };
+    let configuration = Configuration::new(ConfigurationVersion(9), vec![route], IDLE_MS);
+    let balancer = fleet.balancers.get_mut(&1).unwrap();
+    balancer.apply(configuration);
+    for caller in 0..10 {
+        let packet = opening(flow(caller, 0), 0);
+        let mut decision = balancer.place(fleet.now, &packet);
+        let mut tried = Vec::new();
+        while let BalancerDecision::Forward { search, .. } = decision {
+            assert!(tried.len() < 10, "{tried:?}");
+            tried.push(search.service.clone());
+            decision = balancer.handle_overloaded(fleet.now, search, &packet);
+        }
+        expect_that!(
+            decision,
+            eq(&BalancerDecision::Reset(ResultCode::Overloaded))
+        );
+        tried.sort_unstable();
+        expect_that!(tried, eq(&[0, 1, 2].map(service)));
+    }
+}
