Refuse no flow that a visited agent can serve

With "refuse_when_full" and without "least_loaded", a flow kept no agent that it had visited, so the last one refused it although a busy but not overloaded agent had handed it off. Agents that refuse flows now keep the least loaded agent as well, and return a flow there instead of refusing it. An agent with the default policy no longer returns a flow that an agent with another policy handed off.

--- a/crates/opaque/src/opening.rs
+++ b/crates/opaque/src/opening.rs
@@ -95,10 +95,11 @@
         if state.visited < max_handoffs && state.has_next {
             return OpeningDecision::HandOff;
         }
+        let is_returned = |best: VisitedAgent| {
+            self.hand_off == HandOff::LeastLoaded && best.is_clearly_below(state.expected_wait_ms)
+        };
         match state.least_loaded {
-            Some(best) if is_full || best.is_clearly_below(state.expected_wait_ms) => {
-                OpeningDecision::HandBack(best.address)
-            }
+            Some(best) if is_full || is_returned(best) => OpeningDecision::HandBack(best.address),
             None if is_full && !state.is_retransmission => OpeningDecision::Refuse,
             _ => OpeningDecision::Accept,
         }
@@ -107,7 +108,7 @@
     /// Returns the agent with the shortest expected wait, this one at `address` included; `None` if the policy
     /// does not need it or none can serve the flow.
     pub fn least_loaded(self, address: SocketAddr, state: &OpeningState) -> Option<VisitedAgent> {
-        if self.hand_off == HandOff::FirstFree {
+        if self.hand_off == HandOff::FirstFree && !self.refuses_when_full {
             return None;
         }
         let is_full = self.refuses_when_full && state.is_overloaded;
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -107,6 +107,33 @@
     expect_false!(is_kept, "an overloaded agent is no place to return to");
 }
 
+// Flood beyond the slots of some upstreams, without the setting for the least loaded agent: the caller must not be
+// refused although an agent that the flow visited can serve it. Nothing else makes a flow return.
+#[gtest]
+fn a_flow_is_not_refused_while_a_visited_agent_can_serve_it() {
+    let policy = OpeningPolicy {
+        hand_off: HandOff::FirstFree,
+        refuses_when_full: true,
+    };
+    let busy = last_visit();
+    let best = policy.least_loaded(peer_address(100), &busy);
+    expect_that!(best, some(eq(visited(100, 120))));
+    let full = OpeningState {
+        is_overloaded: true,
+        visited: 5,
+        least_loaded: best,
+        ..busy
+    };
+    let back = OpeningDecision::HandBack(peer_address(100));
+    expect_that!(policy.decide(&full), eq(back));
+    let waits_longer = OpeningState {
+        expected_wait_ms: DurationMs(500),
+        is_overloaded: false,
+        ..full
+    };
+    expect_that!(policy.decide(&waits_longer), eq(OpeningDecision::Accept));
+}
+
 /// Opens flows and leaves their requests unanswered, until those that wait have waited for half of their time.
 fn overload(fleet: &mut Fleet) {
     overload_by(fleet, 160);
