Refuse no flow that a silent upstream may still open

An agent forwards an opening packet that its upstream leaves unanswered for 60 ms, and an overloaded agent refused it. An upstream that goes on after a pause may accept the first copy, so the caller could be told that nothing has run although its flow opened. The agent now names itself as the agent to which the packet returns if all others are overloaded, and drops the packet when this was in vain: the caller transmits it again after 200 ms.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -12,7 +12,7 @@
 use crate::flow_table::{CallerPacket, FlowChange, FlowTable};
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
-use crate::opening::{OpeningDecision, OpeningPolicy, OpeningState};
+use crate::opening::{OpeningDecision, OpeningPolicy, OpeningState, VisitedAgent};
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
 use crate::placement::DomainTag;
@@ -865,8 +865,11 @@
                 continue;
             }
             self.upstream.record_unanswered_opening();
+            let Some(search) = self.search_after_timeout(pending.search) else {
+                continue;
+            };
             let packet = Some(opening.packet);
-            self.forward_to_next(now, pending.search, &opening.segment, packet, out);
+            self.forward_to_next(now, search, &opening.segment, packet, out);
         }
         let changes = self.requests.tick(now);
         self.apply_request_changes(now, changes, out);
@@ -879,6 +882,26 @@
         self.publish(now, out);
     }
 
+    /// Returns the search that continues with an opening packet which the upstream left unanswered; `None` if it
+    /// ends here.
+    ///
+    /// The upstream may still open the flow, so agents must not refuse the packet: if all are overloaded, it
+    /// returns here. It is dropped if that was in vain, since the caller transmits it again.
+    fn search_after_timeout(&self, mut search: Search) -> Option<Search> {
+        if !self.opening_policy.refuses_when_full {
+            return Some(search);
+        }
+        let address = self.local_address();
+        if search.visited.contains(&address) {
+            return None;
+        }
+        search.least_loaded.get_or_insert(VisitedAgent {
+            address,
+            expected_wait_ms: search.class.deadline_ms,
+        });
+        Some(search)
+    }
+
     /// Returns whether gossip has had time to announce the agent to every process, and the upstream was
     /// not draining when the agent's previous incarnation ended.
     fn is_join_complete(&self, now: TimeMs) -> bool {
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -235,6 +235,36 @@
     expect_that!(visits, eq(1));
 }
 
+// Upstream that pauses while all others are overloaded: it may still accept the opening packet that it left unanswered,
+// so the caller must not be told that nothing has run.
+#[gtest]
+fn a_flow_that_a_paused_upstream_may_accept_is_not_refused() {
+    let mut fleet = Fleet::with_policy(1, 12, 1, POLICY);
+    overload_by(&mut fleet, 340);
+    let segment = opening(flow(900, 0), 0);
+    let search = search_of(&[101, 102, 103, 104]);
+    // Agent 100 has restarted: its upstream is idle, and leaves the packet unanswered.
+    fleet.restart_agent(100);
+    fleet.run_for(500);
+    let delivered = forward(&mut fleet, 100, search, segment);
+    assert!(matches!(delivered[..], [AgentAction::Deliver { .. }]));
+    fleet.now = fleet.now + DurationMs(100);
+    let mut actions = Vec::new();
+    let machine = &mut fleet.agents.get_mut(&100).unwrap().machine;
+    machine.handle(fleet.now, AgentEvent::Tick, &mut actions);
+    let (to, search) = forwarded(actions).unwrap();
+    let (to, search) = forwarded(forward(&mut fleet, number_of(to), search, segment)).unwrap();
+    expect_that!(to, eq(peer_address(100)));
+    let delivered = forward(&mut fleet, 100, search, segment);
+    expect_true!(matches!(delivered[..], [AgentAction::Deliver { .. }]));
+    // The caller sends the next transmission meanwhile.
+    fleet.now = fleet.now + DurationMs(100);
+    let mut actions = Vec::new();
+    let machine = &mut fleet.agents.get_mut(&100).unwrap().machine;
+    machine.handle(fleet.now, AgentEvent::Tick, &mut actions);
+    expect_that!(forwarded(actions), none());
+}
+
 // The same without the setting: nobody is refused.
 #[gtest]
 fn without_the_setting_nobody_is_refused_for_load() {
