Send copies of an opening packet to an evacuated owner

If all failure domains of a service were evacuated between two transmissions of an opening packet, the balancer answered the second one with a reset, although the upstream may have opened the flow on the first one. The balancer now sends the copy to the agent that got the first one. That agent delivers it if the flow is open; otherwise it returns the packet and the caller gets the reset.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -507,7 +507,9 @@
         {
             return cached.owner;
         }
-        let to = self.select_agent(now, segment, search, attempt)?;
+        let Some(to) = self.select_agent(now, segment, search, attempt) else {
+            return self.evacuated_owner(now, segment);
+        };
         if let Some(cached) = self.cache_flow(now, segment.flow) {
             *cached = CachedFlow {
                 owner: Some(to),
@@ -518,6 +520,17 @@
         Some(to)
     }
 
+    /// Returns the agent that got an earlier transmission of an opening packet, if its failure domain was
+    /// evacuated since: its upstream may have opened the flow, which must not be reset.
+    fn evacuated_owner(&mut self, now: TimeMs, segment: &Segment) -> Option<SocketAddr> {
+        let cached = self.cached_owner(now, segment)?;
+        let is_copy = cached.opening_sequence == Some(segment.sequence);
+        let view = self.gossip.view();
+        cached
+            .owner
+            .filter(|owner| is_copy && view.is_evacuated_agent(*owner))
+    }
+
     /// Places a packet of an established flow: at the owner if it announced itself. Otherwise a search
     /// begins at the likely owner, for a first retransmission at a registrar, and for later ones at all
     /// agents at once, since an agent that has just died ends a search that reaches it.
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -223,6 +223,12 @@
         self.evacuations.merge(evacuations)
     }
 
+    /// Returns whether the agent at `address` is known and in an evacuated failure domain.
+    pub(crate) fn is_evacuated_agent(&self, address: SocketAddr) -> bool {
+        let index = self.index(address);
+        index.is_ok_and(|index| self.is_evacuated(&self.peers[index]))
+    }
+
     fn is_evacuated(&self, entry: &PeerEntry) -> bool {
         self.evacuations.contains(&entry.peer.failure_domain)
     }
--- a/crates/opaque/tests/evacuation.rs
+++ b/crates/opaque/tests/evacuation.rs
@@ -95,6 +95,20 @@
     expect_that!(outcome, eq(Outcome::Accepted(owner)));
 }
 
+// Guards against a reset for a flow that opens: its upstream accepted the first transmission of the opening packet,
+// and the answer is still on its way when the caller sends the next one.
+#[gtest]
+fn a_retransmission_reaches_the_upstream_that_opened_the_flow_before_the_evacuation() {
+    let mut fleet = Fleet::new(1, 6, 1);
+    let outcome = fleet.send(1, opening(flow(1, 0), 0));
+    let Outcome::Accepted(owner) = outcome else {
+        panic!("{outcome:?}");
+    };
+    fleet.evacuate(1, 10, &DOMAINS);
+    let copy = fleet.send(1, opening(flow(1, 0), 1));
+    expect_that!(copy, eq(Outcome::Accepted(owner)));
+}
+
 // Guards against a service whose upstreams are all in the evacuated failure domain and refuses
 // callers, although another service of the route may serve them.
 #[gtest]
