List evacuations again after a change that cannot be read

A watch skipped changes without a readable name. If another program had overwritten an entry, the watching balancers missed this and the removal of the entry, and the evacuation stayed in force until the failure domain was evacuated and released again. Watches now report that a change was skipped, and the evacuations are listed again.

--- a/crates/relay/src/evacuation.rs
+++ b/crates/relay/src/evacuation.rs
@@ -81,7 +81,8 @@
         }
         WatchStep::Watch { from, wait_ms } => {
             let page = store.watch_collection(collection, from, wait_ms).await?;
-            if !entries.apply(page.changes, &page.removed) {
+            // A change that cannot be read may be one of a known entry, even its removal.
+            if !page.is_complete || !entries.apply(page.changes, &page.removed) {
                 return Ok(None);
             }
             cursor.watched(page.position);
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -30,6 +30,14 @@
     timeout(EVACUATE_TIMEOUT, opened).await.is_ok()
 }
 
+/// Starts a caller on `host` that sends its packets to the balancer on `balancer`, once that one is ready.
+async fn spawn_caller(host: u8, balancer: u8) -> Caller {
+    let router = Router::spawn([(address(balancer, 27_721), address(balancer, 27_722))]);
+    assert!(becomes_true(|| router.ready_count() == 1, TEST_TIMEOUT).await);
+    let caller = Caller::bind(address(host, 27_721), router.into()).await;
+    caller.unwrap()
+}
+
 // Guards against an evacuation that the processes which the store turns away never hear of, against one
 // that outlives its entry, and against entries of other programs that hide it.
 #[gtest]
@@ -43,11 +51,7 @@
     let _turned_away = spawn_balancer(82, 81, proxy_address).await;
     let (_agent, _upstream) = spawn_agent(83, 81, store_address).await;
     assert!(has_version(82, 3, TEST_TIMEOUT).await);
-    let router = Router::spawn([(address(82, 27_721), address(82, 27_722))]);
-    assert!(becomes_true(|| router.ready_count() == 1, TEST_TIMEOUT).await);
-    let mut caller = Caller::bind(address(87, 27_721), router.into())
-        .await
-        .unwrap();
+    let mut caller = spawn_caller(87, 82).await;
     assert!(opens_with(&mut caller, Ok(())).await);
 
     proxy.set_mode(ProxyMode::Reset);
@@ -63,3 +67,23 @@
     store.evacuate("domain");
     expect_true!(opens_with(&mut caller, Err(CallError::Reset)).await);
 }
+
+// Guards against an evacuation that outlives its entry because another program has overwritten the entry, so that
+// the watch cannot tell whose change or removal it reports.
+#[gtest]
+#[tokio::test]
+async fn an_evacuation_ends_with_an_entry_that_became_unreadable() {
+    let store_address = address(89, 27_731);
+    let store = Store::bind(store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let _balancer = spawn_balancer(91, 91, store_address).await;
+    let (_agent, _upstream) = spawn_agent(92, 91, store_address).await;
+    let mut caller = spawn_caller(93, 91).await;
+    assert!(opens_with(&mut caller, Ok(())).await);
+
+    store.evacuate("domain");
+    assert!(opens_with(&mut caller, Err(CallError::Reset)).await);
+    store.write_malformed_object("evacuations", "domain", json!({ "spec": 1 }));
+    store.end_evacuation("domain");
+    expect_true!(opens_with(&mut caller, Ok(())).await);
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -238,6 +238,7 @@
         let era = answer.era;
         let body = self.read_answer(answer.response).await?;
         let page = self.dialect.watch_answer(collection, &body)?;
+        let is_complete = page.skipped.is_empty();
         self.skipped.report(page.skipped);
         // Revisions go back without notice if the store does not report its era.
         let is_same_history = era == from.era() && page.revision >= from.revision();
@@ -248,6 +249,7 @@
             position: Version::in_era(era, page.revision),
             changes: page.changes,
             removed: page.removed,
+            is_complete,
         })
     }
 
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -80,6 +80,8 @@
     pub changes: Vec<ObjectBody>,
     /// Names of objects that no longer exist.
     pub removed: Vec<String>,
+    /// Each change could be read.
+    pub is_complete: bool,
 }
 
 /// One page of a listing, as a store answers it.
