Watch evacuations while the configuration is unreadable

Only balancers that count as watching the configuration read the evacuations. None counts as watching while the operator's configuration cannot be read, so an evacuation in that time came into force nowhere. Now the balancers read them that are to watch the platform store, whatever the state of the configuration.

--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -7,8 +7,9 @@
 
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
-    BalancerDecision, BalancerMachine, BalancerStatus, Configuration, GOSSIP_INTERVAL_MS,
-    GossipEvent, Peer, PeerMessage, PeerRole, QueryPart, QueryResult, Search, Segment, decode,
+    BalancerDecision, BalancerMachine, BalancerStatus, Configuration, ConfigurationTask,
+    GOSSIP_INTERVAL_MS, GossipEvent, Peer, PeerMessage, PeerRole, QueryPart, QueryResult, Search,
+    Segment, decode,
 };
 use hawthorntide_platform::{
     HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
@@ -134,7 +135,7 @@
             tasks.spawn(follow_evacuations(
                 Arc::clone(&store),
                 recovery.clone(),
-                move || watcher.is_watching(),
+                move || watcher.should_watch(),
                 move |evacuations| reader.gossip(GossipEvent::EvacuationsRead(evacuations)),
             ));
         }
@@ -377,11 +378,10 @@
         }
     }
 
-    /// Returns whether this balancer watches the configuration in the platform store.
-    fn is_watching(&self) -> bool {
-        let machine = self.machine();
-        let status = machine.gossip().local_peer().balancer();
-        status.is_some_and(|status| status.is_watching)
+    /// Returns whether this balancer is one of those that watch the platform store. It does not count as
+    /// watching for others while the store does not answer, or the configuration cannot be read.
+    fn should_watch(&self) -> bool {
+        self.machine().configuration_task(self.clock.now()) == ConfigurationTask::Watch
     }
 
     fn gossip(&self, event: GossipEvent) {
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -87,3 +87,22 @@
     store.end_evacuation("domain");
     expect_true!(opens_with(&mut caller, Ok(())).await);
 }
+
+// Guards against an evacuation that nobody reads while the operator's configuration is unreadable: no balancer
+// counts as watching the configuration then.
+#[gtest]
+#[tokio::test]
+async fn evacuations_are_read_while_the_configuration_is_unreadable() {
+    let store_address = address(89, 27_732);
+    let store = Store::bind(store_address).await.unwrap();
+    store.configure(3, &[route(1)]);
+    let _balancer = spawn_balancer(94, 94, store_address).await;
+    let (_agent, _upstream) = spawn_agent(95, 94, store_address).await;
+    let mut caller = spawn_caller(96, 94).await;
+    assert!(opens_with(&mut caller, Ok(())).await);
+
+    store.configure_unreadable("no number");
+    sleep(EVACUATE_TIMEOUT).await;
+    store.evacuate("domain");
+    expect_true!(opens_with(&mut caller, Err(CallError::Reset)).await);
+}
