Reset no flow that a later transmission may have opened

A refused opening packet can reach its balancer after the caller has sent the next transmission, if an agent that it visited was paused. The balancer answered with a reset, although the second transmission, which is never refused, may have opened the flow. The balancer now remembers the latest transmission that it placed, and drops a refused packet that is older, whose flow an agent has announced, or whose caller opens another flow.

--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -104,6 +104,8 @@
     is_announced: bool,
     /// Sequence number of the opening packet, if it passed through this balancer.
     opening_sequence: Option<u32>,
+    /// Number of its latest transmission that was placed.
+    opening_attempt: u32,
     last_packet: TimeMs,
     /// Sequence number of the latest packet with data.
     last_sequence: Option<u32>,
@@ -117,6 +119,7 @@
             owner: None,
             is_announced: false,
             opening_sequence: None,
+            opening_attempt: 0,
             last_packet: now,
             last_sequence: None,
             retransmissions: 0,
@@ -514,6 +517,7 @@
             *cached = CachedFlow {
                 owner: Some(to),
                 opening_sequence: Some(segment.sequence),
+                opening_attempt: attempt,
                 ..CachedFlow::new(now)
             };
         }
@@ -597,6 +601,9 @@
         let Some(route) = self.routes.find(segment.flow.service_address) else {
             return self.handle_unrouted(now, segment);
         };
+        if self.is_superseded(segment) {
+            return BalancerDecision::Drop(ResultCode::Overloaded);
+        }
         let view = self.gossip.view();
         // A route may name a service more than once.
         let mut services: Vec<&ServiceName> = Vec::new();
@@ -621,6 +628,22 @@
         BalancerDecision::Reset(ResultCode::Overloaded)
     }
 
+    /// Returns whether the flow of an opening packet may be open although this transmission of it is refused:
+    /// a later one was placed, an agent announced that it owns the flow, or the caller opens another flow.
+    fn is_superseded(&self, segment: &Segment) -> bool {
+        let SegmentKind::Opening { attempt } = segment.kind else {
+            return true;
+        };
+        let cached = self.cached_flows.get(&segment.flow);
+        cached.is_some_and(|cached| {
+            cached.is_announced
+                || cached.opening_attempt > attempt
+                || cached
+                    .opening_sequence
+                    .is_some_and(|it| it != segment.sequence)
+        })
+    }
+
     /// Queries the agents that a packet has not visited. A retransmission repeats the query at those that
     /// have not answered.
     fn query_agents(
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -9,8 +9,8 @@
 };
 use googletest::prelude::*;
 use hawthorntide_opaque::{
-    AgentAction, AgentEvent, Backend, BalancerDecision, Configuration, DomainTag, HandOff,
-    OpeningDecision, OpeningPolicy, OpeningState, RequestClass, Route, Search, Segment,
+    AgentAction, AgentEvent, Backend, BalancerDecision, BalancerMachine, Configuration, DomainTag,
+    HandOff, OpeningDecision, OpeningPolicy, OpeningState, RequestClass, Route, Search, Segment,
     VisitedAgent,
 };
 use hawthorntide_types::{ConfigurationVersion, DurationMs, ResultCode};
@@ -335,3 +335,31 @@
         expect_that!(tried, eq(&[0, 1, 2].map(service)));
     }
 }
+
+// Guards against a reset for an open flow: a packet that was held up on its way is refused after the caller's next
+// transmission was placed, or after an agent announced that it owns the flow.
+#[gtest]
+fn a_late_refusal_resets_no_flow_that_another_transmission_may_have_opened() {
+    let mut fleet = Fleet::with_policy(1, 6, 1, POLICY);
+    let now = fleet.now;
+    let balancer = fleet.balancers.get_mut(&1).unwrap();
+    let mut refuse_after = |caller, other: &mut dyn FnMut(&mut BalancerMachine)| {
+        let packet = opening(flow(caller, 0), 0);
+        let BalancerDecision::Forward { search, .. } = balancer.place(now, &packet) else {
+            panic!("not placed");
+        };
+        other(balancer);
+        balancer.handle_overloaded(now, search, &packet)
+    };
+    let reset = BalancerDecision::Reset(ResultCode::Overloaded);
+    expect_that!(refuse_after(1, &mut |_| {}), eq(&reset));
+    let dropped = BalancerDecision::Drop(ResultCode::Overloaded);
+    let decision = refuse_after(2, &mut |balancer| {
+        balancer.place(now, &opening(flow(2, 0), 1));
+    });
+    expect_that!(decision, eq(&dropped));
+    let decision = refuse_after(3, &mut |balancer| {
+        balancer.record_owner(now, flow(3, 0), peer_address(100));
+    });
+    expect_that!(decision, eq(&dropped));
+}
