--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -13,7 +13,7 @@
 use crate::flow_table::{CallerPacket, FlowChange, FlowTable};
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
-use crate::opening::{OpeningDecision, OpeningPolicy, OpeningState};
+use crate::opening::{OpeningDecision, OpeningPolicy, OpeningState, VisitedAgent};
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
 use crate::placement::DomainTag;
@@ -334,7 +334,7 @@
     fn handle_forwarded(
         &mut self,
         now: TimeMs,
-        search: Search,
+        mut search: Search,
         segment: &Segment,
         packet: &[u8],
         out: &mut Vec<AgentAction>,
@@ -343,6 +343,10 @@
             out.push(AgentAction::Drop(ResultCode::PacketMalformed));
             return;
         }
+        if search.visited.contains(&self.local_address()) {
+            // A flow that was handed back and is forwarded again must not return from each further agent.
+            search.terms.least_loaded = None;
+        }
         if self.upstream.is_dead() {
             self.forward_to_next(now, search, segment, None, out);
             return;
@@ -913,8 +917,11 @@
                 continue;
             }
             self.upstream.record_unanswered_opening();
+            let Some(search) = self.search_after_timeout(pending.search) else {
+                continue;
+            };
             let packet = Some(opening.packet);
-            self.forward_to_next(now, pending.search, &opening.segment, packet, out);
+            self.forward_to_next(now, search, &opening.segment, packet, out);
         }
         let changes = self.requests.tick(now);
         self.apply_request_changes(now, changes, out);
@@ -927,6 +934,28 @@
         self.publish(now, out);
     }
 
+    /// Returns the search that continues with an opening packet which the upstream left unanswered; `None` if it
+    /// ends here.
+    ///
+    /// The upstream may still open the flow, so agents must not refuse the packet: if all are overloaded, it
+    /// returns here. It is dropped if that was in vain, since the caller transmits it again.
+    fn search_after_timeout(&self, mut search: Search) -> Option<Search> {
+        let may_be_refused =
+            self.opening_policy.refuses_when_full || search.terms.cold_limit.is_some();
+        if !may_be_refused {
+            return Some(search);
+        }
+        let address = self.local_address();
+        if search.visited.contains(&address) {
+            return None;
+        }
+        search.terms.least_loaded.get_or_insert(VisitedAgent {
+            address,
+            expected_wait_ms: search.class.deadline_ms,
+        });
+        Some(search)
+    }
+
     /// Returns whether gossip has had time to announce the agent to every process, and the upstream was
     /// not draining when the agent's previous incarnation ended.
     fn is_join_complete(&self, now: TimeMs) -> bool {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -105,6 +105,8 @@
     is_announced: bool,
     /// Sequence number of the opening packet, if it passed through this balancer.
     opening_sequence: Option<u32>,
+    /// Number of its latest transmission that was placed.
+    opening_attempt: u32,
     last_packet: TimeMs,
     /// Sequence number of the latest packet with data.
     last_sequence: Option<u32>,
@@ -118,6 +120,7 @@
             owner: None,
             is_announced: false,
             opening_sequence: None,
+            opening_attempt: 0,
             last_packet: now,
             last_sequence: None,
             retransmissions: 0,
@@ -535,17 +538,31 @@
         {
             return cached.owner;
         }
-        let to = self.select_agent(now, segment, search, attempt)?;
+        let Some(to) = self.select_agent(now, segment, search, attempt) else {
+            return self.evacuated_owner(now, segment);
+        };
         if let Some(cached) = self.cache_flow(now, segment.flow) {
             *cached = CachedFlow {
                 owner: Some(to),
                 opening_sequence: Some(segment.sequence),
+                opening_attempt: attempt,
                 ..CachedFlow::new(now)
             };
         }
         Some(to)
     }
 
+    /// Returns the agent that got an earlier transmission of an opening packet, if its failure domain was
+    /// evacuated since: its upstream may have opened the flow, which must not be reset.
+    fn evacuated_owner(&mut self, now: TimeMs, segment: &Segment) -> Option<SocketAddr> {
+        let cached = self.cached_owner(now, segment)?;
+        let is_copy = cached.opening_sequence == Some(segment.sequence);
+        let view = self.gossip.view();
+        cached
+            .owner
+            .filter(|owner| is_copy && view.is_evacuated_agent(*owner))
+    }
+
     /// Places a packet of an established flow: at the owner if it announced itself. Otherwise a search
     /// begins at the likely owner, for a first retransmission at a registrar, and for later ones at all
     /// agents at once, since an agent that has just died ends a search that reaches it.
@@ -612,9 +629,19 @@
         let Some(route) = self.routes.find(segment.flow.service_address) else {
             return self.handle_unrouted(now, segment);
         };
+        if self.is_superseded(segment) {
+            return BalancerDecision::Drop(ResultCode::Overloaded);
+        }
         let view = self.gossip.view();
-        let services = route.services_of(&segment.flow);
+        // A route may name a service more than once.
+        let mut services: Vec<&ServiceName> = Vec::new();
+        for service in route.services_of(&segment.flow) {
+            if !services.contains(&service) {
+                services.push(service);
+            }
+        }
         let mut untried = services
+            .into_iter()
             .skip_while(|service| **service != search.service)
             .skip(1);
         if let Some(service) = untried.find(|service| view.has_capacity(now, service)) {
@@ -629,6 +656,22 @@
         BalancerDecision::Reset(ResultCode::Overloaded)
     }
 
+    /// Returns whether the flow of an opening packet may be open although this transmission of it is refused:
+    /// a later one was placed, an agent announced that it owns the flow, or the caller opens another flow.
+    fn is_superseded(&self, segment: &Segment) -> bool {
+        let SegmentKind::Opening { attempt } = segment.kind else {
+            return true;
+        };
+        let cached = self.cached_flows.get(&segment.flow);
+        cached.is_some_and(|cached| {
+            cached.is_announced
+                || cached.opening_attempt > attempt
+                || cached
+                    .opening_sequence
+                    .is_some_and(|it| it != segment.sequence)
+        })
+    }
+
     /// Queries the agents that a packet has not visited. A retransmission repeats the query at those that
     /// have not answered.
     fn query_agents(
--- a/crates/opaque/src/opening.rs
+++ b/crates/opaque/src/opening.rs
@@ -48,6 +48,12 @@
     pub expected_wait_ms: DurationMs,
 }
 
+impl VisitedAgent {
+    fn is_clearly_below(&self, wait_ms: DurationMs) -> bool {
+        self.expected_wait_ms.get() + MIN_GAIN_MS.get() <= wait_ms.get()
+    }
+}
+
 /// What an agent knows when a new flow arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct OpeningState {
@@ -93,27 +99,21 @@
         if state.visited < max_handoffs && state.has_next {
             return OpeningDecision::HandOff;
         }
+        let is_returned = |best: VisitedAgent| {
+            self.hand_off == HandOff::LeastLoaded && best.is_clearly_below(state.expected_wait_ms)
+        };
         match state.least_loaded {
-            Some(best) if is_full || self.is_better(best, state) => {
-                OpeningDecision::HandBack(best.address)
-            }
+            Some(best) if is_full || is_returned(best) => OpeningDecision::HandBack(best.address),
             None if is_full && !state.is_retransmission => OpeningDecision::Refuse,
             _ => OpeningDecision::Accept,
         }
     }
 
-    fn is_better(self, visited: VisitedAgent, state: &OpeningState) -> bool {
-        let gained_ms = state
-            .expected_wait_ms
-            .get()
-            .saturating_sub(visited.expected_wait_ms.get());
-        self.hand_off == HandOff::LeastLoaded && gained_ms >= MIN_GAIN_MS.get()
-    }
-
     /// Returns the agent with the shortest expected wait, this one at `address` included; `None` if nothing
     /// may send the flow back or none can serve it.
     pub fn least_loaded(self, address: SocketAddr, state: &OpeningState) -> Option<VisitedAgent> {
-        if self.hand_off == HandOff::FirstFree && state.cold_limit.is_none() {
+        let may_return = self.hand_off == HandOff::LeastLoaded || self.refuses_when_full;
+        if !may_return && state.cold_limit.is_none() {
             return None;
         }
         let is_full = self.refuses_when_full && state.is_overloaded;
