Take no copy of an answer for the answer to the next request

The upstream sends an answer again while its acknowledgement waits at the agent with the next request of the flow. The agent took the copy for the answer to that request: it dropped the packets of the request, and the scheduler started it later and counted its slot as taken until its deadline. In a flood, agents lost their slots that way. Data that was sent before answers nothing now, and a request that is answered while it waits does not start.

--- a/crates/admission/src/slot_scheduler.rs
+++ b/crates/admission/src/slot_scheduler.rs
@@ -179,6 +179,8 @@
                 if let Some(ended) = self.remove_running(id) {
                     let service_time = now.since(ended.started);
                     self.service_times[ended.kind as usize].observe(now, service_time);
+                } else {
+                    self.remove_waiting(id);
                 }
             }
             SlotEvent::Cancelled(id) => {
--- a/crates/admission/tests/slot_scheduler.rs
+++ b/crates/admission/tests/slot_scheduler.rs
@@ -343,3 +343,15 @@
     expect_that!(waits.is_sorted(), eq(true), "{waits:?}");
     expect_that!(waits[2], ge(DurationMs(500)));
 }
+
+/// Guards against a slot that is lost until the deadline of a request which was answered before it started.
+#[gtest]
+fn a_waiting_request_that_was_answered_does_not_start() {
+    let mut scheduler = occupied_scheduler();
+    handle(&mut scheduler, 100, SlotEvent::Arrived(request(2, STREAM)));
+    let answered = SlotEvent::Answered(RequestId(2));
+    expect_that!(started(&handle(&mut scheduler, 110, answered)), is_empty());
+    expect_that!(scheduler.waiting(), eq(0));
+    let next = handle(&mut scheduler, 120, SlotEvent::Answered(RequestId(0)));
+    expect_that!(started(&next), is_empty());
+}
--- a/crates/opaque/src/flow_table.rs
+++ b/crates/opaque/src/flow_table.rs
@@ -320,14 +320,16 @@
         let end = segment.end();
         let flow = self.flows.entry(segment.flow);
         let flow = flow.or_insert_with(|| FlowEntry::new(now, FlowState::Open { end }));
-        if !matches!(flow.state, FlowState::Open { end: known } if !is_after(end, known)) {
+        let is_copy = matches!(flow.state, FlowState::Open { end: known } if !is_after(end, known));
+        if !is_copy {
             flow.state = FlowState::Open { end };
         }
         flow.last_packet = now;
         flow.is_closed_by_upstream |= segment.is_last;
         // An upstream acknowledges no more than it has received.
         flow.received_end.get_or_insert(segment.acknowledged);
-        if segment.payload_bytes == 0 {
+        // The upstream retransmits an answer whose acknowledgement waits with the next request.
+        if segment.payload_bytes == 0 || is_copy {
             return None;
         }
         let since = flow.busy_since.take()?;
--- a/crates/opaque/tests/requests.rs
+++ b/crates/opaque/tests/requests.rs
@@ -390,6 +390,35 @@
     expect_that!(agent.deliveries(waiting), eq(1));
 }
 
+// Flood: the acknowledgement of an answer is held with the next request of its flow, so the upstream sends the
+// answer again. The copy must not be taken for the answer to the waiting request, which would be lost, with
+// its slot, until its deadline.
+#[gtest]
+fn a_copy_of_an_answer_does_not_end_the_next_request() {
+    let mut agent = Agent::new();
+    let key = flow(40, 0);
+    agent.open(key);
+    agent.request(key, 0);
+    agent.answer(key, 0);
+    for caller in 0..MAX_RUNNING as u16 {
+        agent.open(flow(caller, 0));
+        agent.request(flow(caller, 0), 0);
+    }
+    agent.request(key, 1);
+    expect_that!(agent.machine.waiting_requests(), eq(1));
+    agent.answer(key, 0);
+    expect_that!(agent.machine.waiting_requests(), eq(1));
+    agent.answer(flow(0, 0), 0);
+    expect_that!(agent.deliveries(key), eq(2));
+    agent.answer(key, 1);
+    for caller in 50..50 + 2 * MAX_RUNNING as u16 {
+        agent.open(flow(caller, 0));
+        agent.request(flow(caller, 0), 0);
+        agent.answer(flow(caller, 0), 0);
+        expect_that!(agent.deliveries(flow(caller, 0)), eq(1), "a slot was lost");
+    }
+}
+
 /// One step of a random history of an agent.
 #[derive(Clone, Copy, Debug)]
 enum Step {
