Let the soak evacuate failure domains, mislead agents about upstreams, and flood a service

The soak did not cover evacuations, upstreams whose heartbeats promise more than they do, and load peaks. Evacuations begin, end and are renewed at random beside other faults, of single and of all failure domains, and agents join meanwhile. No flow may open in an evacuated failure domain by a packet that was sent after the evacuation had to be in force, and new flows have to return afterwards.

The mix all now has all faults. The faults of the former mix all are drawn first and so keep their times; alone, they are the mix failures. The failure domains of agents no longer coincide with their services, since an evacuation would otherwise always take all agents of the second service.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -23,9 +23,27 @@
 /// Time in which the last packet of a flow reaches its upstream.
 const CLOSE_TIME: Duration = Duration::from_millis(50);
 
+/// Name under which floods are recorded.
+pub(crate) const FLOOD: &str = "flood";
+
+/// Maximum number of requests on a flow of a flood, which opens flows at a high rate.
+const MAX_FLOOD_REQUESTS: u32 = 8;
+
+/// Interval at which the callers of a flood check whether it lasts.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallerKind {
+    /// Calls both services at all times, with pauses.
+    Steady,
+    /// Calls one service without pauses, during floods only.
+    Flood,
+}
+
 /// Opens flows and sends requests on them until the task is aborted. While there is only planned work, every
 /// other flow that ended in order is followed by one from the same port.
 pub(crate) async fn run(
+    kind: CallerKind,
     number: u8,
     address: SocketAddr,
     router: Arc<Router>,
@@ -42,11 +60,18 @@
     };
     let mut is_port_used_again = false;
     let mut service = 0;
+    let (services, max_requests, max_pause_ms) = match kind {
+        CallerKind::Steady => (2, MAX_REQUESTS, MAX_PAUSE_MS),
+        CallerKind::Flood => (1, MAX_FLOOD_REQUESTS, 0),
+    };
     for flow_number in 0u64.. {
+        while kind == CallerKind::Flood && !record.is_disturbed(FLOOD) {
+            sleep(POLL_INTERVAL).await;
+        }
         let opened = if is_port_used_again {
             caller.open_again(service_address(service)).await
         } else {
-            service = random.random_range(0..2);
+            service = random.random_range(0..services);
             caller.open(service_address(service)).await
         };
         is_port_used_again = false;
@@ -60,7 +85,7 @@
             upstream: None,
             opened_at: Instant::now(),
         };
-        for request in 0..random.random_range(1..=MAX_REQUESTS) {
+        for request in 0..random.random_range(1..=max_requests) {
             let text = format!("{number}-{flow_number}-{request}");
             let sent_at = Instant::now();
             let result = caller.call(&mut flow, &text, CALL_TIMEOUT).await;
@@ -70,7 +95,7 @@
             if has_failed {
                 break;
             }
-            let pause_ms = random.random_range(0..=MAX_PAUSE_MS);
+            let pause_ms = random.random_range(0..=max_pause_ms);
             sleep(Duration::from_millis(pause_ms)).await;
         }
         caller.close(&flow);
--- a/soak/src/cli.rs
+++ b/soak/src/cli.rs
@@ -7,8 +7,15 @@
 /// Kinds of faults that a run draws.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
 pub(crate) enum FaultMix {
-    /// All faults, with a short pause between two of them.
+    /// The mix `failures`, with evacuations, misleading upstreams and floods at the same time.
     All,
+    /// Faults of processes, upstreams and the store, and route changes, with a short pause between two
+    /// of them.
+    Failures,
+    /// Evacuations while processes and upstreams fail and the store serves all.
+    Evacuations,
+    /// Upstreams that do not answer as their heartbeats promise, and floods, while processes fail.
+    Overload,
     /// Route changes before and after the store fails for all balancers but one, with other faults at
     /// the same time.
     Configuration,
@@ -53,6 +60,9 @@
     /// Makes all agents serve a service that no caller uses, so that the run must fail.
     #[arg(long, hide = true)]
     pub(crate) broken_service: bool,
+    /// Makes all balancers ignore evacuations, so that the run must fail.
+    #[arg(long, hide = true)]
+    pub(crate) ignored_evacuations: bool,
     /// Directory for settings and logs; default: `hawthorntide-soak-SEED-PID` in the directory for
     /// temporary files.
     #[arg(long, value_name = "DIRECTORY")]
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -55,6 +55,9 @@
 /// Copies of the store that are kept, one a second.
 pub(crate) const MAX_COPIES: usize = 10;
 
+/// Number of failure domains.
+pub(crate) const FAILURE_DOMAINS: u8 = 3;
+
 /// Pause between two attempts to bind an address.
 const BIND_PAUSE: Duration = Duration::from_millis(10);
 
@@ -63,6 +66,8 @@
 pub(crate) struct AgentVm {
     pub(crate) process: Process,
     pub(crate) upstream: Option<Upstream>,
+    /// Number of the failure domain.
+    pub(crate) domain: u8,
     options: UpstreamOptions,
     incarnations: u32,
 }
@@ -84,6 +89,10 @@
     /// Writes of another program into the kinds of the system.
     foreign_writes: u64,
     network: u8,
+    binary: PathBuf,
+    directory: PathBuf,
+    /// All agents serve a service that no caller uses.
+    has_broken_service: bool,
 }
 
 impl Deployment {
@@ -99,35 +108,17 @@
         for number in 1..=cli.balancers {
             let proxy_address = balancer_store_address(network, number);
             balancer_store_proxies.push(TcpProxy::bind(proxy_address, store_address).await?);
-            let settings = balancer_settings(network, number);
+            let mut settings = balancer_settings(network, number);
+            settings["evacuations"] = json!(!cli.ignored_evacuations);
             let name = format!("balancer-{number}");
             balancers.push(Process::spawn(
                 &binary, directory, "balancer", &name, &settings,
             )?);
             targets.push(router_target(network, number));
         }
-        let mut agents = Vec::new();
-        for number in 1..=cli.agents {
-            let service = if cli.broken_service {
-                service_name(0)
-            } else {
-                service_of(number)
-            };
-            let settings = agent_settings(network, number, &service);
-            let name = format!("agent-{number}");
-            let process = Process::spawn(&binary, directory, "agent", &name, &settings)?;
-            let mut vm = AgentVm {
-                process,
-                upstream: None,
-                options: upstream_options(network, number, service),
-                incarnations: 0,
-            };
-            vm.start_upstream().await?;
-            agents.push(vm);
-        }
         let mut deployment = Self {
             balancers,
-            agents,
+            agents: Vec::new(),
             balancer_store_proxies,
             agent_store_proxy,
             router: Arc::new(Router::spawn(targets)),
@@ -137,11 +128,50 @@
             copies: VecDeque::new(),
             foreign_writes: 0,
             network,
+            binary,
+            directory: directory.to_owned(),
+            has_broken_service: cli.broken_service,
         };
+        for _ in 0..cli.agents {
+            deployment.add_agent().await?;
+        }
         deployment.configure(false);
         Ok(deployment)
     }
 
+    /// Starts another agent and its upstream.
+    pub(crate) async fn add_agent(&mut self) -> anyhow::Result<()> {
+        let number = u8::try_from(self.agents.len() + 1)?;
+        let service = if self.has_broken_service {
+            service_name(0)
+        } else {
+            service_of(number)
+        };
+        let settings = agent_settings(self.network, number, &service);
+        let name = format!("agent-{number}");
+        let process = Process::spawn(&self.binary, &self.directory, "agent", &name, &settings)?;
+        let mut vm = AgentVm {
+            process,
+            upstream: None,
+            domain: agent_domain(number),
+            options: upstream_options(self.network, number, service),
+            incarnations: 0,
+        };
+        vm.start_upstream().await?;
+        self.agents.push(vm);
+        Ok(())
+    }
+
+    /// Creates or removes the entry of a failure domain.
+    pub(crate) fn set_evacuated(&self, domain: u8, is_evacuated: bool) {
+        let name = domain_name(domain);
+        if is_evacuated {
+            self.store.evacuate(&name);
+        } else {
+            self.store.end_evacuation(&name);
+        }
+    }
+
     /// Writes the next version of the configuration, with or without the extra route.
     pub(crate) fn configure(&mut self, has_extra_route: bool) {
         self.version += 1 + self.version % 3;
@@ -217,7 +247,7 @@
 
     /// Returns a router that chooses only the balancer `index`.
     pub(crate) fn router_to(&self, index: usize) -> Router {
-        Router::spawn([router_target(self.network, index as u8 + 1)])
+        self.router.spawn_restricted(index)
     }
 }
 
@@ -267,12 +297,22 @@
     /// Returns whether the agent takes new flows of the service with `number`, and neither it nor its
     /// upstream was disturbed lately.
     pub(crate) fn serves_undisturbed(&self, number: u8, record: &RunRecord) -> bool {
-        self.options.service == service_name(number)
-            && self.upstream.as_ref().is_some_and(|it| !it.is_draining())
+        self.options.service == service_name(number) && self.is_serving_undisturbed(record)
+    }
+
+    /// Returns whether the agent takes new flows, and neither it nor its upstream was disturbed lately.
+    pub(crate) fn is_serving_undisturbed(&self, record: &RunRecord) -> bool {
+        self.upstream.as_ref().is_some_and(|it| !it.is_draining())
             && record.is_undisturbed(&self.process.name)
             && record.is_undisturbed(&self.upstream_name(self.incarnations))
     }
 
+    /// Returns the service address at which callers reach the upstream.
+    pub(crate) fn service_address(&self) -> SocketAddr {
+        let is_second = self.options.service == service_name(2);
+        service_address(u8::from(is_second))
+    }
+
     /// Returns the number of incarnations of the upstream so far.
     pub(crate) const fn incarnations(&self) -> u32 {
         self.incarnations
@@ -329,11 +369,24 @@
     )
 }
 
+/// Returns the number of the failure domain of a balancer.
+pub(crate) const fn balancer_domain(number: u8) -> u8 {
+    number % FAILURE_DOMAINS
+}
+
+/// Returns the number of the failure domain of an agent. Each service has agents in several ones.
+const fn agent_domain(number: u8) -> u8 {
+    (number % FAILURE_DOMAINS + number / FAILURE_DOMAINS) % FAILURE_DOMAINS
+}
+
+pub(crate) fn domain_name(domain: u8) -> String {
+    format!("domain-{domain}")
+}
+
 fn process_settings(network: u8, subnet: u8, number: u8, store_address: SocketAddr) -> Value {
     let seeds = [address(network, BALANCER_SUBNET, 1, HEARTBEAT_PORT)];
     json!({
         "flows": "opaque",
-        "failure_domain": format!("domain-{}", number % 3),
         "data_address": address(network, subnet, number, DATA_PORT),
         "ready_address": address(network, subnet, number, READY_PORT),
         "peer_address": address(network, subnet, number, PEER_PORT),
@@ -351,6 +404,7 @@
         balancer_store_address(network, number),
     );
     settings["role"] = json!("balancer");
+    settings["failure_domain"] = json!(domain_name(balancer_domain(number)));
     settings["drain_limit_ms"] = json!(5_000);
     settings
 }
@@ -360,6 +414,7 @@
     let mut settings =
         process_settings(network, AGENT_SUBNET, number, agent_store_address(network));
     settings["role"] = json!("agent");
+    settings["failure_domain"] = json!(domain_name(agent_domain(number)));
     settings["service"] = json!(service);
     settings["upstream_address"] = json!(at(UPSTREAM_PORT));
     settings["upstream_output_address"] = json!(at(OUTPUT_PORT));
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use hawthorntide_standins::ProxyMode;
+use hawthorntide_standins::{ProxyMode, UpstreamBehavior};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::cli::FaultMix;
-use crate::deployment::MAX_COPIES;
+use crate::deployment::{FAILURE_DOMAINS, MAX_COPIES};
 
 /// Fault or configuration change, with the index of its target, if any.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,6 +57,21 @@
     },
     /// Adds or removes the extra route.
     ChangeRoute,
+    /// Evacuates the failure domain with this number.
+    Evacuate(u8),
+    /// Evacuates all failure domains.
+    EvacuateAll,
+    /// Removes the entry of an evacuated failure domain and makes it again at once.
+    RenewEvacuation(u8),
+    /// Adds an agent with an upstream.
+    AddAgent,
+    /// An upstream treats requests in another way than its heartbeats promise.
+    MisleadUpstream {
+        agent: usize,
+        behavior: UpstreamBehavior,
+    },
+    /// Many callers call one service without pauses.
+    Flood,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -74,26 +89,35 @@
     balancers: usize,
     agents: usize,
 ) -> Vec<PlannedFault> {
-    match mix {
-        FaultMix::All => plan_all(random, run, balancers, agents),
+    let random_fault = |random: &mut ChaCha8Rng| random_fault(random, balancers, agents);
+    let process_fault = |random: &mut ChaCha8Rng| random_process_fault(random, balancers, agents);
+    let mut faults = match mix {
+        FaultMix::All | FaultMix::Failures => plan_failures(random, run, random_fault),
+        FaultMix::Evacuations | FaultMix::Overload => plan_failures(random, run, process_fault),
         FaultMix::Configuration => plan_configuration(random, run, balancers, agents),
         FaultMix::Planned => plan_planned_work(random, run, balancers, agents),
+    };
+    if matches!(mix, FaultMix::All | FaultMix::Evacuations) {
+        faults.extend(plan_evacuations(random, run));
+    }
+    if matches!(mix, FaultMix::All | FaultMix::Overload) {
+        faults.extend(plan_overload(random, run, agents));
     }
+    faults
 }
 
-/// Plans faults of all kinds. The mean time between two faults is shorter than their duration, so that
-/// they overlap.
-fn plan_all(
+/// Plans faults that `draw` returns. The mean time between two faults is shorter than their duration, so
+/// that they overlap.
+fn plan_failures(
     random: &mut ChaCha8Rng,
     run: Duration,
-    balancers: usize,
-    agents: usize,
+    draw: impl Fn(&mut ChaCha8Rng) -> Fault,
 ) -> Vec<PlannedFault> {
     let mut faults = Vec::new();
     let mut at = Duration::from_millis(500);
     while at < run {
         let duration = random_ms(random, 300..4_000);
-        let fault = random_fault(random, balancers, agents);
+        let fault = draw(random);
         faults.push(PlannedFault {
             at,
             duration,
@@ -197,6 +221,69 @@
     faults
 }
 
+/// Plans evacuations of single and of all failure domains, in series and overlapping.
+fn plan_evacuations(random: &mut ChaCha8Rng, run: Duration) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(700);
+    while at < run {
+        let domain = random.random_range(0..FAILURE_DOMAINS);
+        let duration = random_ms(random, 1_000..12_000);
+        let delay = random_ms(random, 20..6_000);
+        let mut plan = |at, duration, fault| {
+            faults.push(PlannedFault {
+                at,
+                duration,
+                fault,
+            });
+        };
+        match random.random_range(0..8) {
+            0..=2 => plan(at, duration, Fault::Evacuate(domain)),
+            3 => plan(at, duration.mul_f64(0.7), Fault::EvacuateAll),
+            4..=5 => {
+                plan(at, duration + delay, Fault::Evacuate(domain));
+                plan(at + delay, Duration::ZERO, Fault::RenewEvacuation(domain));
+            }
+            6 => {
+                plan(at, duration + delay, Fault::Evacuate(domain));
+                plan(at + delay, Duration::ZERO, Fault::AddAgent);
+            }
+            _ => {
+                plan(at, Duration::ZERO, Fault::SilenceStoreConnections);
+                plan(at + delay / 20, duration, Fault::Evacuate(domain));
+            }
+        }
+        at += random_ms(random, 500..5_000);
+    }
+    faults
+}
+
+/// Plans misleading upstreams and floods, which overlap.
+fn plan_overload(random: &mut ChaCha8Rng, run: Duration, agents: usize) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(900);
+    while at < run {
+        let behavior = match random.random_range(0..4) {
+            0 => Some(UpstreamBehavior::Silent),
+            1 => Some(UpstreamBehavior::Slow(random.random_range(3..=20))),
+            2 => Some(UpstreamBehavior::Resetting(random.random_range(2..=10))),
+            _ => None,
+        };
+        let agent = random.random_range(0..agents);
+        let fault = behavior.map_or(Fault::Flood, |behavior| Fault::MisleadUpstream {
+            agent,
+            behavior,
+        });
+        let duration = random_ms(random, 500..5_000);
+        faults.push(PlannedFault {
+            at,
+            duration,
+            fault,
+        });
+        at += random_ms(random, 300..4_000);
+    }
+    faults
+}
+
 fn random_ms(random: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range))
 }
@@ -211,7 +298,13 @@
             | Fault::StoreExceptFor { .. }
             | Fault::SilenceStoreConnections
             | Fault::RestoreStore { .. }
-            | Fault::ChangeRoute => {}
+            | Fault::ChangeRoute
+            | Fault::Evacuate(_)
+            | Fault::EvacuateAll
+            | Fault::RenewEvacuation(_)
+            | Fault::AddAgent
+            | Fault::MisleadUpstream { .. }
+            | Fault::Flood => {}
             Fault::TerminateAgent(_)
             | Fault::RetireUpstream(_)
             | Fault::KillBalancer(_)
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod cli;
 mod deployment;
+mod evacuations;
 mod faults;
 mod process;
 mod record;
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -60,13 +60,23 @@
 
     /// Returns whether `name` has been undisturbed for at least `SETTLE_TIME`.
     pub(crate) fn is_undisturbed(&self, name: &str) -> bool {
+        self.was_undisturbed(name, SETTLE_TIME, Instant::now())
+    }
+
+    /// Returns whether `name` had been undisturbed for at least `duration` at `time`.
+    pub(crate) fn was_undisturbed(&self, name: &str, duration: Duration, time: Instant) -> bool {
         match self.state().disturbances.get(name) {
             None => true,
             Some(None) => false,
-            Some(Some(ended)) => ended.elapsed() >= SETTLE_TIME,
+            Some(Some(ended)) => time.saturating_duration_since(*ended) >= duration,
         }
     }
 
+    /// Returns whether a disturbance of `name` lasts.
+    pub(crate) fn is_disturbed(&self, name: &str) -> bool {
+        matches!(self.state().disturbances.get(name), Some(None))
+    }
+
     /// Prints and records a violation of a guarantee; the output calls it a broken promise.
     pub(crate) fn record_violation(&self, text: String) {
         self.print(&format!("BROKEN {text}"));
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -5,15 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hawthorntide_standins::{CallError, Caller, ProxyMode};
+use hawthorntide_standins::{CallError, Caller, ProxyMode, UpstreamBehavior};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::callers;
+use crate::callers::{self, CallerKind, FLOOD};
 use crate::cli::{Cli, FaultMix};
-use crate::deployment::{Deployment, EXTRA_SERVICE, extra_address};
+use crate::deployment::{AgentVm, Deployment, EXTRA_SERVICE, FAILURE_DOMAINS, extra_address};
+use crate::evacuations::DomainState;
 use crate::faults::{Fault, PlannedFault, plan_faults};
 use crate::process::Signal;
 use crate::record::RunRecord;
@@ -39,6 +40,15 @@
 /// Flows by which a route is checked, for each balancer; the router spreads them.
 const FLOWS_PER_BALANCER: usize = 2;
 
+/// Callers of a flood for each caller that calls at all times.
+const FLOOD_FACTOR: u8 = 2;
+
+/// Number of the first caller of a flood.
+const FIRST_FLOOD_CALLER: u8 = 121;
+
+/// Number of the last caller of a flood.
+const LAST_FLOOD_CALLER: u8 = 240;
+
 /// Time from the drain of an upstream until it stops.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 
@@ -71,9 +81,10 @@
     }
 }
 
-struct Run {
-    deployment: Deployment,
-    record: Arc<RunRecord>,
+/// Running soak.
+pub(crate) struct Run {
+    pub(crate) deployment: Deployment,
+    pub(crate) record: Arc<RunRecord>,
     faults: Vec<PlannedFault>,
     /// Time of the last change of the extra route.
     route_changed_at: Instant,
@@ -81,6 +92,8 @@
     /// Time of the last copy of the store.
     copied_at: Instant,
     scheduling: SchedulingProbe,
+    /// States of the failure domains, by number.
+    pub(crate) domains: [DomainState; FAILURE_DOMAINS as usize],
 }
 
 /// Runs the soak and returns the number of violations.
@@ -100,11 +113,16 @@
         usize::from(cli.agents),
     );
     let mut tasks = JoinSet::new();
-    for number in 1..=cli.callers {
+    let flood_callers = cli.callers.saturating_mul(FLOOD_FACTOR);
+    let last = LAST_FLOOD_CALLER.min(FIRST_FLOOD_CALLER.saturating_add(flood_callers - 1));
+    let steady = (1..=cli.callers).map(|it| (CallerKind::Steady, it));
+    let flood = (FIRST_FLOOD_CALLER..=last).map(|it| (CallerKind::Flood, it));
+    for (kind, number) in steady.chain(flood) {
         let seed = cli.seed ^ (u64::from(number) << 32);
         let address = deployment.caller_address(number);
         let router = Arc::clone(&deployment.router);
         tasks.spawn(callers::run(
+            kind,
             number,
             address,
             router,
@@ -120,9 +138,10 @@
         has_extra_route: false,
         copied_at: Instant::now(),
         scheduling: SchedulingProbe::default(),
+        domains: Default::default(),
     };
     run.run_faults().await?;
-    run.check_recovery(cli).await?;
+    run.check_recovery().await?;
     run.scheduling.print_summary(&record);
     let (answered, failed) = record.request_totals();
     let violations = record.violation_count();
@@ -154,8 +173,18 @@
     Ok(())
 }
 
+/// Returns the name under which pauses of an agent are recorded.
+pub(crate) fn pause_of(agent: &str) -> String {
+    format!("pause of {agent}")
+}
+
+/// Returns the name under which misleading upstreams of an agent are recorded.
+pub(crate) fn misleading_upstream_of(agent: &str) -> String {
+    format!("misleading upstream of {agent}")
+}
+
 /// Returns the name under which disturbances between a balancer and the platform store are recorded.
-fn store_path(balancer: &str) -> String {
+pub(crate) fn store_path(balancer: &str) -> String {
     format!("store of {balancer}")
 }
 
@@ -171,6 +200,8 @@
             .collect();
         while let Some(next) = schedule.peek().copied() {
             self.collect_reports();
+            self.confirm_evacuations();
+            self.check_return().await;
             self.sample_scheduling();
             if self.copied_at.elapsed() >= COPY_INTERVAL {
                 self.copied_at = Instant::now();
@@ -186,7 +217,7 @@
                     let planned = self.faults[index];
                     self.record
                         .print(&format!("{:?} for {:?}", planned.fault, planned.duration));
-                    let duration = self.begin_fault(planned)?;
+                    let duration = self.begin_fault(planned).await?;
                     schedule.push(ScheduledStep {
                         at: started_at.elapsed() + duration,
                         step: Step::End(index),
@@ -214,14 +245,8 @@
         }
     }
 
-    fn collect_reports(&self) {
-        for agent in &self.deployment.agents {
-            agent.report(&self.record);
-        }
-    }
-
     /// Begins a fault and returns its duration.
-    fn begin_fault(&mut self, planned: PlannedFault) -> anyhow::Result<Duration> {
+    async fn begin_fault(&mut self, planned: PlannedFault) -> anyhow::Result<Duration> {
         let record = Arc::clone(&self.record);
         let mut duration = planned.duration;
         match planned.fault {
@@ -243,6 +268,9 @@
                 let is_kill = matches!(planned.fault, Fault::KillAgent(_));
                 let agent = &mut self.deployment.agents[index].process;
                 record.begin_disturbance(&agent.name);
+                if !is_kill {
+                    record.begin_disturbance(&pause_of(&agent.name));
+                }
                 agent.signal(if is_kill { Signal::Kill } else { Signal::Stop })?;
                 duration = if is_kill { RESTART_PAUSE } else { duration };
             }
@@ -260,6 +288,8 @@
             }
             Fault::KillAll => {
                 record.begin_disturbance("router");
+                self.collect_reports();
+                self.domains.iter_mut().for_each(DomainState::lose);
                 let agents = self.deployment.agents.iter_mut().map(|vm| &mut vm.process);
                 for process in self.deployment.balancers.iter_mut().chain(agents) {
                     record.begin_disturbance(&process.name);
@@ -287,19 +317,23 @@
                 is_route_changed,
                 writes,
             } => {
-                record.begin_disturbance("store");
-                self.deployment.set_store_proxy_mode(ProxyMode::Reset);
-                self.deployment.restore_store(age_s);
-                if is_route_changed {
-                    self.change_route();
-                }
-                // The lost revisions are given out again.
-                self.deployment.write_others(writes);
+                self.restore_store(age_s, is_route_changed, writes);
             }
             Fault::ChangeRoute => {
                 self.change_route();
                 duration = CONFIGURATION_TIMEOUT;
             }
+            Fault::Evacuate(domain) => self.set_evacuated(domain, true),
+            Fault::EvacuateAll => self.set_all_evacuated(true),
+            Fault::RenewEvacuation(domain) => self.renew_evacuation(domain),
+            Fault::AddAgent => {
+                self.deployment.add_agent().await?;
+                if let Some(vm) = self.deployment.agents.last() {
+                    record.end_disturbance(&vm.process.name);
+                }
+            }
+            Fault::MisleadUpstream { agent, behavior } => self.mislead_upstream(agent, behavior),
+            Fault::Flood => record.begin_disturbance(FLOOD),
         }
         Ok(duration)
     }
@@ -321,9 +355,13 @@
                 agent.signal(Signal::Continue)?;
                 agent.start()?;
                 record.end_disturbance(&agent.name);
+                if matches!(planned.fault, Fault::PauseAgent(_)) {
+                    record.end_disturbance(&pause_of(&agent.name));
+                }
             }
             Fault::TerminateAgent(index) => {
                 while self.deployment.agents[index].process.is_terminating() {
+                    self.collect_reports();
                     sleep(POLL_INTERVAL).await;
                 }
                 let agent = &mut self.deployment.agents[index].process;
@@ -355,7 +393,10 @@
                 }
                 record.end_disturbance("router");
             }
-            Fault::ReloadAll | Fault::SilenceStoreConnections => {}
+            Fault::ReloadAll
+            | Fault::SilenceStoreConnections
+            | Fault::RenewEvacuation(_)
+            | Fault::AddAgent => {}
             Fault::Store(_) | Fault::RestoreStore { .. } => {
                 self.deployment.set_store_proxy_mode(ProxyMode::Pass);
                 record.end_disturbance("store");
@@ -367,14 +408,68 @@
                 self.check_route().await;
                 self.check_route_at_each_balancer().await;
             }
+            Fault::Evacuate(domain) => self.set_evacuated(domain, false),
+            Fault::EvacuateAll => self.set_all_evacuated(false),
+            Fault::MisleadUpstream { agent, .. } => self.end_misleading(agent),
+            Fault::Flood => record.end_disturbance(FLOOD),
         }
         Ok(())
     }
 
+    /// The store is away and comes back from a copy; the operator writes again what was lost.
+    fn restore_store(&mut self, age_s: usize, is_route_changed: bool, writes: u64) {
+        self.record.begin_disturbance("store");
+        self.deployment.set_store_proxy_mode(ProxyMode::Reset);
+        self.deployment.restore_store(age_s);
+        if is_route_changed {
+            self.change_route();
+        }
+        for domain in 0..FAILURE_DOMAINS {
+            let is_evacuated = self.domains[usize::from(domain)].is_evacuated();
+            self.set_evacuated(domain, is_evacuated);
+        }
+        // The lost revisions are given out again.
+        self.deployment.write_others(writes);
+    }
+
+    fn mislead_upstream(&self, index: usize, behavior: UpstreamBehavior) {
+        let vm = &self.deployment.agents[index];
+        let Some(upstream) = &vm.upstream else {
+            return;
+        };
+        upstream.set_behavior(behavior);
+        self.record
+            .begin_disturbance(&misleading_upstream_of(&vm.process.name));
+        // Callers of a slow upstream get their answers.
+        if !matches!(behavior, UpstreamBehavior::Slow(_)) {
+            self.record
+                .begin_disturbance(&vm.upstream_name(vm.incarnations()));
+        }
+    }
+
+    /// Ends the misleading behavior of an upstream, unless another incarnation runs already.
+    fn end_misleading(&self, index: usize) {
+        let vm = &self.deployment.agents[index];
+        self.record
+            .end_disturbance(&misleading_upstream_of(&vm.process.name));
+        let Some(upstream) = &vm.upstream else {
+            return;
+        };
+        let behavior = upstream.behavior();
+        upstream.set_behavior(UpstreamBehavior::Healthy);
+        if matches!(
+            behavior,
+            UpstreamBehavior::Silent | UpstreamBehavior::Resetting(_)
+        ) {
+            self.record
+                .end_disturbance(&vm.upstream_name(vm.incarnations()));
+        }
+    }
+
     /// Stops an upstream. Its flows are lost, so all its incarnations count as disturbed from now on.
     fn stop_upstream(&mut self, index: usize) {
+        self.collect_reports();
         let vm = &mut self.deployment.agents[index];
-        vm.report(&self.record);
         for incarnation in 1..=vm.incarnations() {
             self.record
                 .begin_disturbance(&vm.upstream_name(incarnation));
@@ -390,6 +485,13 @@
         Ok(())
     }
 
+    /// Returns whether an agent takes new flows of the extra route, and nothing there was disturbed.
+    fn has_agent_for_extra(&self) -> bool {
+        let is_open = |vm: &AgentVm| self.domains[usize::from(vm.domain)].is_open();
+        let mut agents = self.deployment.agents.iter();
+        agents.any(|vm| is_open(vm) && vm.serves_undisturbed(EXTRA_SERVICE, &self.record))
+    }
+
     /// Adds or removes the extra route.
     fn change_route(&mut self) {
         self.has_extra_route = !self.has_extra_route;
@@ -420,6 +522,8 @@
                 .record_violation(format!("cannot bind {address}"));
             return;
         };
+        // Evacuations may leave no agent for the extra route.
+        let has_agent = self.domains.iter().all(DomainState::is_open) || self.has_agent_for_extra();
         for _ in 0..FLOWS_PER_BALANCER * self.deployment.balancers.len() {
             let is_open = caller.open(extra_address()).await.is_ok();
             if is_open && !self.has_extra_route {
@@ -428,7 +532,7 @@
                     self.deployment.version
                 ));
             }
-            if !is_open && self.has_extra_route && self.are_balancers_undisturbed() {
+            if !is_open && self.has_extra_route && has_agent && self.are_balancers_undisturbed() {
                 self.record.record_violation(format!(
                     "added route accepts no flows, version {}",
                     self.deployment.version
@@ -472,8 +576,7 @@
                 return;
             };
             let outcome = caller.open(extra_address()).await;
-            let mut agents = self.deployment.agents.iter();
-            let has_agent = agents.any(|vm| vm.serves_undisturbed(EXTRA_SERVICE, &record));
+            let has_agent = self.has_agent_for_extra();
             let is_old = match outcome {
                 Ok(_) => !self.has_extra_route,
                 Err(CallError::Reset) => self.has_extra_route && has_agent,
@@ -491,9 +594,9 @@
     }
 
     /// Ends all faults and checks that requests are answered again.
-    async fn check_recovery(&mut self, cli: &Cli) -> anyhow::Result<()> {
+    async fn check_recovery(&mut self) -> anyhow::Result<()> {
         self.deployment.set_store_proxy_mode(ProxyMode::Pass);
-        for index in 0..usize::from(cli.agents) {
+        for index in 0..self.deployment.agents.len() {
             self.start_upstream(index).await?;
             let process = &mut self.deployment.agents[index].process;
             process.signal(Signal::Continue)?;
@@ -514,6 +617,8 @@
             self.record
                 .record_violation(format!("not recovered: {answered} answered, {failed} not"));
         }
+        self.collect_reports();
+        self.check_return().await;
         self.check_route().await;
         self.collect_reports();
         Ok(())
