--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -227,7 +227,7 @@
     let mut at = Duration::from_millis(700);
     while at < run {
         let domain = random.random_range(0..FAILURE_DOMAINS);
-        let duration = random_ms(random, 1_000..12_000);
+        let duration = random_ms(random, 2_000..16_000);
         let delay = random_ms(random, 20..6_000);
         let mut plan = |at, duration, fault| {
             faults.push(PlannedFault {
@@ -238,7 +238,7 @@
         };
         match random.random_range(0..8) {
             0..=2 => plan(at, duration, Fault::Evacuate(domain)),
-            3 => plan(at, duration.mul_f64(0.7), Fault::EvacuateAll),
+            3 => plan(at, duration / 2, Fault::EvacuateAll),
             4..=5 => {
                 plan(at, duration + delay, Fault::Evacuate(domain));
                 plan(at + delay, Duration::ZERO, Fault::RenewEvacuation(domain));
@@ -252,7 +252,7 @@
                 plan(at + delay / 20, duration, Fault::Evacuate(domain));
             }
         }
-        at += random_ms(random, 500..5_000);
+        at += random_ms(random, 1_000..6_000);
     }
     faults
 }
