--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -7,13 +7,17 @@
 
 const PROMISE_BROKEN: i32 = 100;
 
+/// Run in which evacuations are in force for some seconds.
+const EVACUATION_SEED: u64 = 1;
+const EVACUATION_SECONDS: u64 = 10;
+
 /// Runs that failed in the past; each entry has a comment with the cause.
 const REGRESSIONS: &[Run] = &[
     // A route that was added while the store was away after a restore was not served: the watches
     // resumed at a revision of the lost history.
-    Run::of_all_faults(306, 15),
+    Run::of_failures(306, 15),
     // The same with a route that was removed and still accepted flows.
-    Run::of_all_faults(311, 15),
+    Run::of_failures(311, 15),
     // A removed route accepted flows at all balancers: their watches waited on connections to the store
     // that had fallen silent.
     Run {
@@ -34,11 +38,11 @@
 }
 
 impl Run {
-    const fn of_all_faults(seed: u64, seconds: u64) -> Self {
+    const fn of_failures(seed: u64, seconds: u64) -> Self {
         Self {
             seed,
             seconds,
-            mix: "all",
+            mix: "failures",
             balancers: 3,
         }
     }
@@ -88,14 +92,14 @@
 // a host that did not run it.
 #[gtest]
 fn guarantees_hold_in_short_run() {
-    let text = expect_no_violation(Run::of_all_faults(7, 8));
+    let text = expect_no_violation(Run::of_failures(7, 8));
     expect_that!(text, contains_substring("longest wait for a processor: "));
 }
 
 // The guarantees must hold while the platform store comes back from copies, among other faults.
 #[gtest]
 fn guarantees_hold_while_the_store_comes_back_from_copies() {
-    let text = expect_no_violation(Run::of_all_faults(232, 20));
+    let text = expect_no_violation(Run::of_failures(232, 20));
     let restores = text.matches("RestoreStore").count();
     expect_that!(restores, ge(3), "{text}");
 }
@@ -112,6 +116,32 @@
     expect_that!(text.matches("TerminateAgent").count(), ge(3), "{text}");
 }
 
+// Guards against flows that open in an evacuated failure domain, among other faults, and against ones that
+// do not return after the evacuation. Evacuations must be in force during the run.
+#[gtest]
+fn no_flow_opens_in_an_evacuated_failure_domain() {
+    let text = expect_no_violation(Run {
+        seed: EVACUATION_SEED,
+        seconds: EVACUATION_SECONDS,
+        mix: "evacuations",
+        balancers: 3,
+    });
+    expect_that!(text.matches("must be in force").count(), ge(2), "{text}");
+}
+
+// Guards against requests on open flows that get no answer while other upstreams are silent, slow or
+// reset flows, and while many callers call one service.
+#[gtest]
+fn requests_are_answered_beside_misleading_upstreams_and_floods() {
+    let text = expect_no_violation(Run {
+        seed: 2,
+        seconds: 15,
+        mix: "overload",
+        balancers: 3,
+    });
+    expect_that!(text, contains_substring("Flood"));
+}
+
 // Failures that the soak found in the past must not return.
 #[gtest]
 fn guarantees_hold_with_seeds_of_former_failures() {
@@ -145,3 +175,23 @@
     expect_that!(output.status.code(), some(eq(PROMISE_BROKEN)), "{text}");
     expect_that!(text, contains_substring("not recovered"));
 }
+
+// Balancers that ignore evacuations must be reported, whatever the agents do.
+#[gtest]
+fn run_fails_if_evacuations_are_ignored() {
+    let binary = build_system();
+    let output = soak(&[
+        "--seed",
+        &EVACUATION_SEED.to_string(),
+        "--seconds",
+        &EVACUATION_SECONDS.to_string(),
+        "--mix",
+        "evacuations",
+        "--ignored-evacuations",
+        "--binary",
+        binary.to_str().unwrap(),
+    ]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    expect_that!(output.status.code(), some(eq(PROMISE_BROKEN)), "{text}");
+    expect_that!(text, contains_substring("of evacuated domain-"));
+}
