Test rules of evacuations and refused flows

Single rules could be removed without a failing test: that balancers skip evacuated failure domains, that malformed sets are rejected, that gossip carries no set before one was read, that a flow which was handed back stays, that a refused flow is marked as visited and goes to another service as a fallback, and that a discarded request counts for half a second. Each now has a test.

--- a/crates/admission/tests/slot_scheduler.rs
+++ b/crates/admission/tests/slot_scheduler.rs
@@ -330,6 +330,30 @@
     expect_that!(urgent.is_hopeless, eq(false), "urgent work starts first");
 }
 
+/// Guards against refusals that begin only after half of the deadline while requests are discarded, and against
+/// ones that go on after a flood.
+#[gtest]
+fn a_discarded_request_counts_for_half_a_second() {
+    let mut scheduler = occupied_scheduler();
+    handle(&mut scheduler, 100, SlotEvent::Arrived(request(2, STREAM)));
+    let discarded_ms = 100 + DEADLINE_MS;
+    let actions = handle(&mut scheduler, discarded_ms, SlotEvent::Tick);
+    expect_that!(
+        actions,
+        contains(eq(&SlotAction::Discard { id: RequestId(2) }))
+    );
+    for more in 0..60 {
+        let arrived = SlotEvent::Arrived(request(1_000 + more, STREAM));
+        handle(&mut scheduler, discarded_ms, arrived);
+    }
+    let is_hopeless = [100, 501].map(|after_ms| {
+        let now = TimeMs(discarded_ms + after_ms);
+        let wait = scheduler.expected_wait(now, &request(0, STREAM));
+        wait.is_hopeless
+    });
+    expect_that!(is_hopeless, eq([true, false]));
+}
+
 /// Guards against an upstream that answers nothing and therefore seems to have a short queue.
 #[gtest]
 fn the_expected_wait_grows_while_nothing_is_answered() {
--- a/crates/opaque/tests/evacuation.rs
+++ b/crates/opaque/tests/evacuation.rs
@@ -5,8 +5,8 @@
 use common::{Fleet, IDLE_MS, Outcome, flow, opening, peer_address, service, service_address};
 use googletest::prelude::*;
 use hawthorntide_opaque::{
-    Backend, Configuration, Evacuations, Gossip, MAX_EVACUATED_DOMAINS, PeerMessage, ReplyKind,
-    RequestClass, Route, decode, encode,
+    Backend, BalancerDecision, Configuration, Evacuations, Gossip, GossipAction, GossipEvent,
+    MAX_EVACUATED_DOMAINS, PeerMessage, ReplyKind, RequestClass, Route, decode, encode,
 };
 use hawthorntide_types::{ConfigurationVersion, ResultCode, Revision, StoreEra, Version};
 
@@ -83,6 +83,22 @@
     }
 }
 
+// Guards against new flows that each cost a detour through an agent of the evacuated failure domain.
+#[gtest]
+fn balancers_place_new_flows_outside_the_evacuated_failure_domain() {
+    let mut fleet = Fleet::new(1, 9, 1);
+    fleet.evacuate(1, 10, &["domain-1"]);
+    let balancer = fleet.balancers.get_mut(&1).unwrap();
+    for caller in 0..20 {
+        let decision = balancer.place(fleet.now, &opening(flow(caller, 0), 0));
+        let BalancerDecision::Forward { to, .. } = decision else {
+            panic!("{decision:?}");
+        };
+        let agent = (100..109).find(|agent| peer_address(*agent) == to).unwrap();
+        expect_that!(domain_of(agent), not(eq("domain-1")));
+    }
+}
+
 // Guards against callers that wait for their deadline when no failure domain may serve them.
 #[gtest]
 fn new_flows_are_refused_at_once_when_all_failure_domains_are_evacuated() {
@@ -225,6 +241,59 @@
     }
 }
 
+// Guards deployments that do not set evacuations: their gossip messages are those of earlier versions.
+#[gtest]
+fn gossip_carries_no_set_before_one_was_read() {
+    let mut fleet = Fleet::new(1, 3, 1);
+    let mut actions = Vec::new();
+    let balancer = fleet.balancers.get_mut(&1).unwrap();
+    balancer.handle_gossip(fleet.now, GossipEvent::Round, &mut actions);
+    let sent = actions.iter().filter_map(|action| match action {
+        GossipAction::Send {
+            message: PeerMessage::Gossip(gossip),
+            ..
+        } => Some(gossip.evacuations.is_some()),
+        _ => None,
+    });
+    let sent: Vec<_> = sent.collect();
+    expect_that!(sent, not(is_empty()));
+    expect_that!(sent, each(eq(&false)));
+}
+
+// Guards against a malformed set: one that is not sorted is not searched correctly, and a long one makes every
+// further message long.
+#[gtest]
+fn malformed_sets_are_rejected() {
+    let fleet = Fleet::new(1, 1, 1);
+    let sender = fleet.balancers[&1].gossip().local_peer().clone();
+    let encoded = |count: usize| {
+        let names = (0..count).map(|number| format!("d{number:02}").parse().unwrap());
+        let (evacuations, _) = Evacuations::new(Version(1), names);
+        let message = PeerMessage::Gossip(Gossip {
+            requested_reply: ReplyKind::Nothing,
+            sender: sender.clone(),
+            updates: Vec::new(),
+            suspected: Vec::new(),
+            evacuations: Some(evacuations),
+        });
+        let mut bytes = Vec::new();
+        encode(&message, &[], &mut bytes).unwrap();
+        bytes
+    };
+    const NAME_BYTES: usize = 4;
+    let mut unsorted = encoded(2);
+    expect_that!(decode(&unsorted), ok(anything()));
+    let last = unsorted.len() - 1;
+    unsorted.swap(last - NAME_BYTES, last);
+    expect_that!(decode(&unsorted), err(anything()));
+    let mut long = encoded(MAX_EVACUATED_DOMAINS);
+    expect_that!(decode(&long), ok(anything()));
+    let count_at = long.len() - MAX_EVACUATED_DOMAINS * NAME_BYTES - 1;
+    long[count_at] += 1;
+    long.extend(*b"\x03d99");
+    expect_that!(decode(&long), err(anything()));
+}
+
 // Guards against entries of other programs that make every gossip message large.
 #[gtest]
 fn the_set_is_limited() {
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -235,6 +235,27 @@
     expect_that!(visits, eq(1));
 }
 
+// Flood: the agent that gets a flow back must not send it on, although it has become overloaded itself. Agents that
+// hand back or refuse a flow count as visited, so that it does not visit them again.
+#[gtest]
+fn a_flow_that_was_handed_back_stays() {
+    let mut fleet = Fleet::with_policy(1, 12, 1, POLICY);
+    overload_by(&mut fleet, 340);
+    let segment = opening(flow(900, 0), 0);
+    let mut search = search_of(&[100, 101, 102, 103, 104]);
+    let actions = forward(&mut fleet, 105, search.clone(), segment);
+    let [AgentAction::ReturnOverloaded { search: refused }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    expect_that!(refused.visited.last(), some(eq(&peer_address(105))));
+    search.least_loaded = Some(visited(100, 1));
+    let (to, search) = forwarded(forward(&mut fleet, 105, search, segment)).unwrap();
+    expect_that!(to, eq(peer_address(100)));
+    expect_that!(search.visited.last(), some(eq(&peer_address(105))));
+    let actions = forward(&mut fleet, 100, search, segment);
+    expect_true!(matches!(actions[..], [AgentAction::Deliver { .. }]));
+}
+
 // Upstream that pauses while all others are overloaded: it may still accept the opening packet that it left unanswered,
 // so the caller must not be told that nothing has run.
 #[gtest]
@@ -322,9 +343,12 @@
         let packet = opening(flow(caller, 0), 0);
         let mut decision = balancer.place(fleet.now, &packet);
         let mut tried = Vec::new();
-        while let BalancerDecision::Forward { search, .. } = decision {
+        while let BalancerDecision::Forward { to, mut search } = decision {
             assert!(tried.len() < 10, "{tried:?}");
+            expect_that!(search.visited, is_empty());
+            expect_that!(search.is_fallback_service, eq(!tried.is_empty()));
             tried.push(search.service.clone());
+            search.visited.push(to);
             decision = balancer.handle_overloaded(fleet.now, search, &packet);
         }
         expect_that!(
