--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -577,13 +577,14 @@
         let recent = self.pending.recent_openings();
         let expected = recent.filter(|flow| !self.flows.is_busy(flow)).count() as u32;
         let wait = self.requests.expected_wait(now, &search.class);
+        let (requests, slots) = (self.flows.busy_flows() + expected, self.upstream.slots());
         OpeningState {
-            requests: self.flows.busy_flows() + expected,
-            slots: self.upstream.slots(),
+            requests,
+            slots,
             expected_wait_ms: wait.wait_ms,
             is_overloaded: wait.is_hopeless,
             visited: search.visited.len(),
-            has_next: self.has_next_agent(now, search, segment),
+            has_next: requests > slots && self.has_next_agent(now, search, segment),
             is_retransmission: matches!(segment.kind, SegmentKind::Opening { attempt: 1.. }),
             least_loaded: search.terms.least_loaded,
             cold_limit: search.terms.cold_limit,
--- a/crates/opaque/src/opening.rs
+++ b/crates/opaque/src/opening.rs
@@ -65,7 +65,7 @@
     pub is_overloaded: bool,
     /// Agents that the flow has visited before.
     pub visited: usize,
-    /// Another agent may accept the flow.
+    /// The upstream is busy, and another agent may accept the flow.
     pub has_next: bool,
     /// An earlier transmission may have opened the flow elsewhere.
     pub is_retransmission: bool,
--- a/crates/opaque/src/view.rs
+++ b/crates/opaque/src/view.rs
@@ -212,7 +212,7 @@
         &self.evacuations
     }
 
-    /// Returns the evacuated failure domains, or `None` if the store was not asked for them.
+    /// Returns the evacuated failure domains, or `None` if neither the store nor a peer named them.
     pub(crate) fn known_evacuations(&self) -> Option<Evacuations> {
         let is_known = self.evacuations.version() != Version::NONE;
         is_known.then(|| self.evacuations.clone())
--- a/crates/opaque/tests/evacuation.rs
+++ b/crates/opaque/tests/evacuation.rs
@@ -264,6 +264,7 @@
 // further message long.
 #[gtest]
 fn malformed_sets_are_rejected() {
+    const NAME_BYTES: usize = 4;
     let fleet = Fleet::new(1, 1, 1);
     let sender = fleet.balancers[&1].gossip().local_peer().clone();
     let encoded = |count: usize| {
@@ -280,7 +281,6 @@
         encode(&message, &[], &mut bytes).unwrap();
         bytes
     };
-    const NAME_BYTES: usize = 4;
     let mut unsorted = encoded(2);
     expect_that!(decode(&unsorted), ok(anything()));
     let last = unsorted.len() - 1;
--- a/crates/opaque/tests/opening.rs
+++ b/crates/opaque/tests/opening.rs
@@ -249,7 +249,7 @@
         panic!("{actions:?}");
     };
     expect_that!(refused.visited.last(), some(eq(&peer_address(105))));
-    search.least_loaded = Some(visited(100, 1));
+    search.terms.least_loaded = Some(visited(100, 1));
     let (to, search) = forwarded(forward(&mut fleet, 105, search, segment)).unwrap();
     expect_that!(to, eq(peer_address(100)));
     expect_that!(search.visited.last(), some(eq(&peer_address(105))));
