Let the upstreams of tests send each answer with its own sequence numbers

They sent all answers of a flow with those of the first one, which agents now take for copies of it: in the test of even load, requests ended only at their deadline.

--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -696,9 +696,11 @@
                 if is_open || segment.acknowledged == chosen.wrapping_add(1) =>
             {
                 upstream.flows.insert(segment.flow, (chosen, true));
+                // The answer to a later request follows that to the first one, whose data begins at 2.
+                let answered_bytes = segment.sequence.wrapping_sub(2);
                 Some(Segment {
                     kind: SegmentKind::Established,
-                    sequence: chosen.wrapping_add(1),
+                    sequence: chosen.wrapping_add(1).wrapping_add(answered_bytes),
                     acknowledged: segment.end(),
                     ..segment
                 })
--- a/crates/opaque/tests/even_load.rs
+++ b/crates/opaque/tests/even_load.rs
@@ -55,6 +55,8 @@
     agent: u8,
     requests_left: u32,
     next_sequence: u32,
+    /// Sequence number of the next answer.
+    next_answer: u32,
     requested_at: TimeMs,
 }
 
@@ -323,6 +325,7 @@
                 agent: number,
                 requests_left: self.random.random_range(1..=20),
                 next_sequence: 2,
+                next_answer: 1_001,
                 requested_at: self.now,
             };
             self.flows.insert(flow, open);
@@ -363,7 +366,12 @@
             return;
         };
         open.requested_at = now;
-        let packet = segment(flow, SegmentKind::Established, open.next_sequence, 1_001);
+        let packet = segment(
+            flow,
+            SegmentKind::Established,
+            open.next_sequence,
+            open.next_answer,
+        );
         open.next_sequence += packet.payload_bytes;
         let agent = open.agent;
         let search = Search {
@@ -438,7 +446,9 @@
             self.latencies_ms.push(latency_ms);
         }
         open.requests_left -= 1;
-        let answer = segment(flow, SegmentKind::Established, 1_001, open.next_sequence);
+        let (sequence, acknowledged) = (open.next_answer, open.next_sequence);
+        let answer = segment(flow, SegmentKind::Established, sequence, acknowledged);
+        open.next_answer += answer.payload_bytes;
         if open.requests_left == 0 {
             self.flows.remove(&flow);
         } else {
