Tell copies of answers by the held request, not by sequence numbers

While the agent holds the request of a flow, data of the upstream cannot be its answer; nothing else is needed.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -634,7 +634,10 @@
         out: &mut Vec<AgentAction>,
     ) {
         self.upstream.record_activity();
-        let change = self.flows.handle_upstream_packet(now, segment);
+        let is_request_held = self.requests.is_waiting(&segment.flow);
+        let change = self
+            .flows
+            .handle_upstream_packet(now, segment, is_request_held);
         out.push(AgentAction::Reply);
         match change {
             Some(FlowChange::Accepted) => self.handle_accepted(now, segment.flow, out),
--- a/crates/opaque/src/flow_table.rs
+++ b/crates/opaque/src/flow_table.rs
@@ -214,10 +214,14 @@
         }
     }
 
+    /// Records a packet of the upstream. While the agent holds the request of the flow (`is_request_held`), data
+    /// cannot be its answer: the upstream retransmits an earlier one, whose acknowledgement waits with the
+    /// request.
     pub(crate) fn handle_upstream_packet(
         &mut self,
         now: TimeMs,
         segment: &Segment,
+        is_request_held: bool,
     ) -> Option<FlowChange> {
         self.expire(now);
         match segment.kind {
@@ -228,7 +232,7 @@
                 was_busy.then_some(FlowChange::Aborted)
             }
             SegmentKind::Established => {
-                let after_ms = self.record_upstream_data(now, segment)?;
+                let after_ms = self.record_upstream_data(now, segment, is_request_held)?;
                 Some(FlowChange::Answered { after_ms })
             }
             SegmentKind::Opening { .. } => None,
@@ -316,20 +320,23 @@
 
     /// Updates a flow for a packet of the upstream; returns the response time if the packet is the first one
     /// of an answer.
-    fn record_upstream_data(&mut self, now: TimeMs, segment: &Segment) -> Option<DurationMs> {
+    fn record_upstream_data(
+        &mut self,
+        now: TimeMs,
+        segment: &Segment,
+        is_request_held: bool,
+    ) -> Option<DurationMs> {
         let end = segment.end();
         let flow = self.flows.entry(segment.flow);
         let flow = flow.or_insert_with(|| FlowEntry::new(now, FlowState::Open { end }));
-        let is_copy = matches!(flow.state, FlowState::Open { end: known } if !is_after(end, known));
-        if !is_copy {
+        if !matches!(flow.state, FlowState::Open { end: known } if !is_after(end, known)) {
             flow.state = FlowState::Open { end };
         }
         flow.last_packet = now;
         flow.is_closed_by_upstream |= segment.is_last;
         // An upstream acknowledges no more than it has received.
         flow.received_end.get_or_insert(segment.acknowledged);
-        // The upstream retransmits an answer whose acknowledgement waits with the next request.
-        if segment.payload_bytes == 0 || is_copy {
+        if segment.payload_bytes == 0 || is_request_held {
             return None;
         }
         let since = flow.busy_since.take()?;
