Write the log on a thread of its own

Cause: each line was a blocking write on the only thread of the process. Panics, errors of the logger and failures to start were blocking writes to standard error.

Change: lines go to a queue of at most 128 KiB, which a thread writes in order. Lines without room are lost, counted by level in hawthorntide_log_lost_lines_total and in one line once the output accepts lines again. The earlier lines are kept, and half of the room is for warnings and errors. A stop waits up to 500 ms, and no longer once nothing was accepted for 250 ms. Panics are logged; failures to start are printed with the same limit; the logger of trials is the same one. The thread writes to the descriptor itself: a lock of the standard library would block whoever prints, and the platform shows only what is written to descriptors 1 and 2 (a duplicate was tried: its lines were missing).

--- a/tests/logging.rs
+++ b/crates/logging/tests/logging.rs
@@ -3,26 +3,27 @@
 //! The log is written to the standard error of the process, so each test runs this test binary
 //! again as a child process.
 
-#[path = "../src/failure.rs"]
-mod failure;
-#[path = "../src/logging.rs"]
-mod logging;
-
-use std::process::Command;
+use std::process::{Command, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use hawthorntide_admin::{log_level, set_log_level};
 use hawthorntide_configuration::{LogFormat, LogLevel, LogOutput, LogSettings};
+use hawthorntide_logging::Log;
 
 const CHILD: &str = "LOGGING_CHILD";
 
+fn child_command(child: &str) -> Command {
+    let mut command = Command::new(std::env::current_exe().unwrap());
+    command.args(["--exact", "writer", "--nocapture"]);
+    command.env(CHILD, child);
+    command
+}
+
 /// Runs the test `writer` in a child process and returns its log lines.
 fn log_of(child: &str) -> Vec<String> {
-    let output = Command::new(std::env::current_exe().unwrap())
-        .args(["--exact", "writer", "--nocapture"])
-        .env(CHILD, child)
-        .output()
-        .unwrap();
+    let output = child_command(child).output().unwrap();
     let text = String::from_utf8(output.stderr).unwrap();
     text.lines().map(ToOwned::to_owned).collect()
 }
@@ -43,7 +44,7 @@
         output: LogOutput::Stderr,
         lines_per_second: 10,
     };
-    let _log = logging::start(settings).unwrap();
+    let _log = Log::start(settings).unwrap();
     let target = "hawthorntide_balancer";
     match child.as_str() {
         "flood" => {
@@ -63,6 +64,15 @@
             set_log_level(LogLevel::Error);
             log::warn!(target: target, "balancer: After.");
         }
+        "fill" => {
+            for number in 0..10_000 {
+                log::error!(target: target, "balancer: Error {number}.");
+            }
+        }
+        "panic" => {
+            let panicking = std::thread::spawn(|| panic!("something broke"));
+            assert!(panicking.join().is_err());
+        }
         _ => log::info!(target: target, "balancer: Started."),
     }
 }
@@ -102,3 +112,34 @@
     expect_that!(lines.len(), eq(1), "{lines:?}");
     expect_that!(lines[0], contains_substring("balancer: While debug."));
 }
+
+// A panic message that is written to standard error blocks a process whose standard error nobody reads; one
+// that is not logged is missing in the log.
+#[gtest]
+fn messages_of_panics_are_logged() {
+    let lines = log_of("panic");
+    expect_that!(lines[0], contains_regex("ERROR Panic: something broke"));
+}
+
+// A process that waits for the reader of its log, in the log, in a panic or at its end.
+#[gtest]
+fn a_full_pipe_delays_neither_lines_nor_panics_nor_the_end() {
+    for child in ["fill", "panic"] {
+        let (_reader, mut writer) = std::io::pipe().unwrap();
+        std::io::Write::write_all(&mut writer, &vec![b'\n'; 64 * 1024]).unwrap();
+        let mut process = child_command(child)
+            .stdout(Stdio::null())
+            .stderr(writer)
+            .spawn()
+            .unwrap();
+        let deadline = Instant::now() + Duration::from_secs(10);
+        let mut status = None;
+        while status.is_none() && Instant::now() < deadline {
+            status = process.try_wait().unwrap();
+            sleep(Duration::from_millis(10));
+        }
+        let _ = process.kill();
+        process.wait().unwrap();
+        expect_that!(status.map(|it| it.success()), some(eq(true)), "{child}");
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -57,6 +57,13 @@
     Trial(TrialArguments),
 }
 
+impl Command {
+    /// Returns whether other processes depend on the one that runs the command.
+    pub(crate) const fn is_server(&self) -> bool {
+        matches!(self, Self::Agent(_) | Self::Balancer(_) | Self::Emulate(_))
+    }
+}
+
 const CODES_HELP: &str = "The exit code is a result code; see `hawthorntide codes`.";
 
 /// Arguments of `check`.
--- a/src/emulate.rs
+++ b/src/emulate.rs
@@ -18,7 +18,7 @@
 };
 use crate::failure::Failure;
 use crate::output::{OutputFormat, Table, print_json, print_text};
-use crate::{logging, signal};
+use crate::{role, signal};
 
 /// Number and latency of the requests with one result code.
 #[derive(Clone, Debug, Serialize)]
@@ -37,14 +37,12 @@
     arguments: EmulateArguments,
     format: OutputFormat,
 ) -> Result<ResultCode, Failure> {
-    let log = logging::start(LogSettings::default())?;
-    let code = match arguments.command {
+    let _log = role::start_log(LogSettings::default())?;
+    match arguments.command {
         EmulateCommand::Platform(arguments) => platform(&arguments).await,
         EmulateCommand::Upstream(arguments) => upstream(arguments).await,
         EmulateCommand::Callers(arguments) => callers(arguments, format).await,
-    };
-    log.shutdown();
-    code
+    }
 }
 
 async fn platform(arguments: &EmulatePlatformArguments) -> Result<ResultCode, Failure> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,6 @@
 mod explain;
 mod failure;
 mod keys;
-mod logging;
 mod opaque;
 mod output;
 mod profile;
@@ -38,8 +37,13 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    let is_server = cli.command.is_server();
     run(cli).unwrap_or_else(|failure| {
-        output::print_failure(&failure);
+        if is_server {
+            output::print_failure_without_waiting(&failure);
+        } else {
+            output::print_failure(&failure);
+        }
         ExitCode::from(failure.code.number())
     })
 }
--- a/src/output.rs
+++ b/src/output.rs
@@ -4,7 +4,9 @@
 use std::io::{IsTerminal, Write};
 
 use clap::ValueEnum;
+use hawthorntide_logging::{BackgroundWriter, StandardStream};
 use hawthorntide_types::ResultCode;
+use log::Level;
 use serde::Serialize;
 
 use crate::failure::Failure;
@@ -88,10 +90,25 @@
 }
 
 pub(crate) fn print_failure(failure: &Failure) {
+    // There is nowhere else to report that standard error is closed.
+    let _ = std::io::stderr().write_all(failure_line(failure).as_bytes());
+}
+
+/// Prints the failure of a process that serves. It has to end although nobody reads standard error, so that
+/// it is started again.
+pub(crate) fn print_failure_without_waiting(failure: &Failure) {
+    // There is nowhere else to report that no thread can be started.
+    if let Ok(writer) = BackgroundWriter::spawn(StandardStream::Error, |_| Vec::new()) {
+        writer.push(Level::Error, failure_line(failure).as_bytes());
+        writer.flush();
+    }
+}
+
+fn failure_line(failure: &Failure) -> String {
     if std::io::stderr().is_terminal() && wants_colour() {
-        eprintln!("{RED}hawthorntide:{RESET} {failure}");
+        format!("{RED}hawthorntide:{RESET} {failure}\n")
     } else {
-        eprintln!("hawthorntide: {failure}");
+        format!("hawthorntide: {failure}\n")
     }
 }
 
--- a/src/role.rs
+++ b/src/role.rs
@@ -5,11 +5,11 @@
 
 use hawthorntide_admin::install_metrics;
 use hawthorntide_configuration::{LogSettings, SettingsProblem};
+use hawthorntide_logging::Log;
 use hawthorntide_types::{Incarnation, ResultCode};
 use tokio::runtime::Runtime;
 
 use crate::failure::Failure;
-use crate::logging;
 
 /// Starts logging and metrics and runs `serve` on `worker_count` threads until it ends.
 pub(crate) fn run(
@@ -17,12 +17,11 @@
     worker_count: usize,
     serve: impl Future<Output = Result<ResultCode, Failure>>,
 ) -> Result<ResultCode, Failure> {
-    let log = logging::start(log)?;
     install_metrics();
+    let _log = start_log(log)?;
     let runtime = runtime(worker_count)?;
     let code = runtime.block_on(serve);
     runtime.shutdown_background();
-    log.shutdown();
     code
 }
 
@@ -31,11 +30,14 @@
     log: LogSettings,
     serve: impl Future<Output = Result<ResultCode, Failure>>,
 ) -> Result<ResultCode, Failure> {
-    let log = logging::start(log)?;
     install_metrics();
-    let code = crate::block_on(serve);
-    log.shutdown();
-    code
+    let _log = start_log(log)?;
+    crate::block_on(serve)
+}
+
+/// Starts the logger, which runs until its handle is dropped.
+pub(crate) fn start_log(settings: LogSettings) -> Result<Log, Failure> {
+    Log::start(settings).map_err(|error| Failure::new(ResultCode::Failure, error))
 }
 
 fn runtime(worker_count: usize) -> Result<Runtime, Failure> {
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -3,16 +3,16 @@
 
 use std::path::Path;
 
+use hawthorntide_logging::Log;
 use hawthorntide_trial::{Deployment, TrialOptions, TrialOutcome};
 use hawthorntide_types::ResultCode;
 
 use crate::cli::TrialArguments;
 
 pub(crate) fn run(arguments: TrialArguments) -> ResultCode {
-    let logger =
-        flexi_logger::Logger::try_with_env_or_str("warn").and_then(flexi_logger::Logger::start);
-    if let Err(error) = &logger {
-        eprintln!("hawthorntide: cannot start the logger: {error}");
+    let log = Log::start_from_environment("warn");
+    if let Err(error) = &log {
+        eprintln!("hawthorntide: {error}");
     }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
