Log by which heartbeat an agent knows the incarnation of its upstream

The log showed that flows ended with their upstream, but not which heartbeats made the agent think so. One line each time the incarnation is known for the first time or changes, with its name, start time and sequence number.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -17,7 +17,7 @@
 use crate::peer::{AgentStatus, Peer, PeerRole};
 use crate::pending::{PendingOpening, PendingPacket, PendingPackets};
 use crate::placement::DomainTag;
-use crate::record::{FlowRecord, PreviousRecord, record_interval_ms};
+use crate::record::{FlowRecord, PreviousRecord, UpstreamIncarnation, record_interval_ms};
 use crate::registrar::{OwnRegistrations, Registrar, RegistrationMessage};
 use crate::requests::{HeldPacket, RequestChange, Requests};
 use crate::segment::{Segment, SegmentKind};
@@ -176,6 +176,13 @@
         /// Time since the request was delivered.
         after_ms: DurationMs,
     },
+    /// The upstream reported its incarnation: for the first time, or another one than before.
+    IncarnationReported {
+        incarnation: UpstreamIncarnation,
+        sequence: u64,
+        /// Another incarnation was known; its flows end.
+        is_change: bool,
+    },
     /// Checks by a connection attempt whether a process listens at the upstream's address.
     Probe,
     /// A field of the published status other than the load changed.
@@ -849,7 +856,19 @@
     ) {
         let is_draining = report.is_draining;
         let slots = report.slots;
-        match self.upstream.apply_report(now, report) {
+        let sequence = report.sequence;
+        let known = self.upstream.incarnation();
+        let kind = self.upstream.apply_report(now, report);
+        if kind != ReportKind::Stale && self.upstream.incarnation() != known {
+            out.extend(self.upstream.incarnation().map(|incarnation| {
+                AgentAction::IncarnationReported {
+                    incarnation,
+                    sequence,
+                    is_change: known.is_some(),
+                }
+            }));
+        }
+        match kind {
             ReportKind::Stale => return,
             // Sent before the upstream deregistered, received after it.
             ReportKind::SameIncarnation if self.phase == Phase::Gone => return,
--- a/crates/opaque/tests/common/mod.rs
+++ b/crates/opaque/tests/common/mod.rs
@@ -654,6 +654,7 @@
                 AgentAction::Probe => self.probed.push(number),
                 AgentAction::Accepted { .. }
                 | AgentAction::Answered { .. }
+                | AgentAction::IncarnationReported { .. }
                 | AgentAction::Reply
                 | AgentAction::StatusChanged(_) => {}
             }
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -351,6 +351,17 @@
                 let caller = SocketAddr::new(flow.caller.ip(), self.caller_port);
                 send(&self.peers, &encode_reset(flow, acknowledged), caller);
             }
+            AgentAction::IncarnationReported {
+                incarnation,
+                sequence,
+                is_change,
+            } => log::info!(
+                upstream:% = incarnation.id,
+                born_ms = incarnation.born_ms,
+                sequence,
+                is_change;
+                "relay: Incarnation of the upstream reported."
+            ),
             AgentAction::Probe => self.probe_requested.notify_one(),
             AgentAction::StatusChanged(status) => log::info!(
                 service:% = status.service,
