--- a/crates/opaque/tests/dead_upstream.rs
+++ b/crates/opaque/tests/dead_upstream.rs
@@ -109,3 +109,27 @@
     }
     expect_that!(fleet.agents[&100].machine.phase(), eq(Phase::Draining));
 }
+
+// An agent rejects the heartbeats of an upstream that sends no start time, and hears no others after its
+// restart: open flows must go on, and new ones find the other upstreams.
+#[gtest]
+fn an_upstream_without_accepted_heartbeats_keeps_its_flows_and_gets_no_new_ones() {
+    let mut fleet = Fleet::new(1, 2, 1);
+    let flows: Vec<_> = (0..40).map(|caller| flow(caller, 0)).collect();
+    let opened: Vec<_> = flows
+        .iter()
+        .map(|key| fleet.open(1, *key).unwrap())
+        .collect();
+    fleet.restart_agent(100);
+    fleet.agents.get_mut(&100).unwrap().upstream.has_left = true;
+    fleet.run_for(10_000);
+    for (key, (agent, number)) in flows.iter().zip(opened) {
+        let outcome = fleet.send_on_flow(1, *key, number);
+        expect_that!(outcome, eq(Outcome::Accepted(agent)));
+    }
+    for caller in 100..140 {
+        let agent = fleet.open(1, flow(caller, 0)).map(|(agent, _)| agent);
+        expect_that!(agent, some(eq(101)));
+    }
+    expect_that!(fleet.reset_flows, is_empty());
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -10,9 +10,9 @@
     GossipAction, GossipEvent, OpeningPolicy, Peer, PeerMessage, PeerRole, Search, Segment, decode,
 };
 use hawthorntide_platform::{
-    HEADER_BYTES, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, UpstreamPacket,
-    encode_reset, mark_for_upstream, parse_caller_packet, parse_upstream_packet, request_class,
-    request_id, set_request_class,
+    HEADER_BYTES, HeartbeatError, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat,
+    UpstreamPacket, encode_reset, mark_for_upstream, parse_caller_packet, parse_upstream_packet,
+    request_class, request_id, set_request_class,
 };
 use hawthorntide_store::{ObjectKind, ObjectStore};
 use hawthorntide_types::{DurationMs, PerMille, Phase, ServiceName, Weight};
@@ -23,7 +23,7 @@
 
 use crate::backoff::StoreRecovery;
 use crate::directory::{Directory, DirectoryEvent, object_key, remove_object};
-use crate::metric::{AgentMetrics, count_refusal};
+use crate::metric::{AgentMetrics, count_refusal, count_rejected_heartbeat};
 use crate::process::{ProcessOptions, perform_gossip, send_message, send_to_all};
 use crate::record::FlowRecorder;
 use crate::sockets::{Clock, MAX_DATAGRAM_BYTES, StartError, bind, receive, send};
@@ -626,6 +626,7 @@
         let is_local =
             heartbeat.service == self.service && heartbeat.address == self.upstream_address;
         if !is_local {
+            count_rejected_heartbeat("foreign");
             log::warn!(
                 service:% = heartbeat.service,
                 upstream:% = heartbeat.address;
@@ -637,6 +638,7 @@
         self.handle(AgentEvent::Report(report.clone()), &mut [], None);
         let is_in_force = self.machine().is_latest_report(&report);
         if !is_in_force {
+            count_rejected_heartbeat("stale");
             log::warn!(
                 upstream:% = report.id,
                 born_ms = report.born_ms,
@@ -647,6 +649,11 @@
         is_in_force
     }
 
+    fn reject_heartbeat(&self, id: &str, error: &HeartbeatError) {
+        count_rejected_heartbeat("malformed");
+        log::warn!("relay: Heartbeat of {id:?} rejected: {error}.");
+    }
+
     fn handle_deregistration(&self, id: &str) {
         self.handle(AgentEvent::Deregistered(id.to_owned()), &mut [], None);
     }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -12,7 +12,7 @@
     QueryResult, Search, Segment, decode,
 };
 use hawthorntide_platform::{
-    HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
+    HeartbeatError, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
     parse_caller_packet, request_class, set_request_class,
 };
 use hawthorntide_routing::FlowKey;
@@ -497,6 +497,10 @@
         false
     }
 
+    fn reject_heartbeat(&self, id: &str, error: &HeartbeatError) {
+        log::warn!("relay: Heartbeat of {id:?} rejected: {error}.");
+    }
+
     fn handle_deregistration(&self, id: &str) {
         log::warn!("relay: Deregistration of upstream {id:?} ignored: balancers have no upstream.");
     }
--- a/crates/relay/src/metric.rs
+++ b/crates/relay/src/metric.rs
@@ -79,6 +79,11 @@
     }
 }
 
+/// Counts a heartbeat that an agent did not take.
+pub(crate) fn count_rejected_heartbeat(reason: &'static str) {
+    counter!("hawthorntide_relay_rejected_heartbeats_total", "reason" => reason).increment(1);
+}
+
 /// Counts a packet that was dropped or answered with a reset.
 pub(crate) fn count_refusal(code: ResultCode, is_reset: bool) {
     if is_reset {
