--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -7,7 +7,8 @@
 use hawthorntide_admin::render_metrics;
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, GOSSIP_INTERVAL_MS,
-    GossipAction, GossipEvent, OpeningPolicy, Peer, PeerMessage, PeerRole, Search, Segment, decode,
+    GossipAction, GossipEvent, OpeningPolicy, Peer, PeerMessage, PeerRole, Search, Segment,
+    UpstreamIncarnation, decode,
 };
 use hawthorntide_platform::{
     HEADER_BYTES, HeartbeatError, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat,
@@ -355,21 +356,9 @@
                 incarnation,
                 sequence,
                 is_change,
-            } => log::info!(
-                upstream:% = incarnation.id,
-                born_ms = incarnation.born_ms,
-                sequence,
-                is_change;
-                "relay: Incarnation of the upstream reported."
-            ),
+            } => log_incarnation(&incarnation, sequence, is_change),
             AgentAction::Probe => self.probe_requested.notify_one(),
-            AgentAction::StatusChanged(status) => log::info!(
-                service:% = status.service,
-                phase:% = status.phase,
-                weight:% = status.weight,
-                load:% = status.load;
-                "relay: Status changed."
-            ),
+            AgentAction::StatusChanged(status) => log_status(&status),
             AgentAction::Gossip(action) => self.perform_gossip(action, buffer),
         }
     }
@@ -617,6 +606,27 @@
     );
 }
 
+/// Logs the heartbeat from which the agent knows the incarnation of its upstream.
+fn log_incarnation(incarnation: &UpstreamIncarnation, sequence: u64, is_change: bool) {
+    log::info!(
+        upstream:% = incarnation.id,
+        born_ms = incarnation.born_ms,
+        sequence,
+        is_change;
+        "relay: Incarnation of the upstream reported."
+    );
+}
+
+fn log_status(status: &AgentStatus) {
+    log::info!(
+        service:% = status.service,
+        phase:% = status.phase,
+        weight:% = status.weight,
+        load:% = status.load;
+        "relay: Status changed."
+    );
+}
+
 impl ProcessHandler for Shared {
     fn is_ready(&self) -> bool {
         true
