Let no other upstream's deregistration end the service of an agent

What callers saw: deregistrations of another writer reach agents that restart as planned before the first heartbeat of their own upstream.

Cause: before the first heartbeat, has_id() was true for any name. Later heartbeats of the upstream then counted as late ones. The same happened with a late deregistration of an earlier run of the same name.

Change: a deregistration is compared with the last heartbeat, by name and, if it carries one, start time. Before the first heartbeat the flow record, a heartbeat, or three intervals without one decide. Heartbeats that go on for an interval after a deregistration show that the upstream has not left. A rejected one is answered with 409 and logged.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -10,6 +10,7 @@
 use hawthorntide_types::{DurationMs, PerMille, Phase, ResultCode, ServiceName, TimeMs};
 
 use crate::cold_start::ColdStartWindow;
+use crate::departure::{Departure, UpstreamDeregistration};
 use crate::flow_table::{CallerPacket, FlowChange, FlowTable};
 use crate::gossip::{GossipAction, GossipEvent, GossipMachine};
 use crate::message::Search;
@@ -69,8 +70,8 @@
     },
     /// Heartbeat of the upstream.
     Report(UpstreamReport),
-    /// The upstream with this name deregistered.
-    Deregistered(String),
+    /// An upstream deregistered; not necessarily that of the agent.
+    Deregistered(UpstreamDeregistration),
     /// The process is about to exit. This tells nothing about its upstream, which may serve its flows
     /// for longer.
     Stopping,
@@ -183,6 +184,8 @@
         /// Another incarnation was known; its flows end.
         is_change: bool,
     },
+    /// The deregistration is another upstream's, or an earlier incarnation's.
+    DeregistrationRejected(UpstreamDeregistration),
     /// Checks by a connection attempt whether a process listens at the upstream's address.
     Probe,
     /// A field of the published status other than the load changed.
@@ -212,6 +215,7 @@
     /// process, so that joining ends at once.
     registered_at: Option<TimeMs>,
     upstream: UpstreamHealth,
+    departure: Departure,
     /// Flow record of the agent's previous incarnation.
     previous_record: PreviousRecord,
     /// Smoothed number of requests at the upstream per thousand slots.
@@ -235,6 +239,7 @@
             started_at: now,
             registered_at: None,
             upstream: UpstreamHealth::new(now, options.heartbeat_ms),
+            departure: Departure::default(),
             previous_record: PreviousRecord::default(),
             load: 0,
         }
@@ -313,7 +318,9 @@
                 self.is_stopping = true;
                 self.publish(now, out);
             }
-            AgentEvent::Deregistered(id) => self.handle_deregistered(now, &id, out),
+            AgentEvent::Deregistered(deregistration) => {
+                self.handle_deregistered(now, deregistration, out);
+            }
             AgentEvent::Registered { was_known } => {
                 self.registered_at = Some(if was_known { now - JOINING_MS } else { now });
                 self.handle_tick(now, out);
@@ -870,11 +877,13 @@
         }
         match kind {
             ReportKind::Stale => return,
-            // Sent before the upstream deregistered, received after it.
-            ReportKind::SameIncarnation if self.phase == Phase::Gone => return,
             ReportKind::SameIncarnation => {}
             ReportKind::NewIncarnation => self.reset_all_flows(out),
         }
+        if self.has_left(now) {
+            self.set_phase(now, Phase::Gone, out);
+            return;
+        }
         let changes = self.requests.set_slots(now, slots);
         self.apply_request_changes(now, changes, out);
         self.resolve_previous_record(now, out);
@@ -928,12 +937,46 @@
         out.extend(flows.map(|(flow, acknowledged)| AgentAction::Reset { flow, acknowledged }));
     }
 
-    fn handle_deregistered(&mut self, now: TimeMs, id: &str, out: &mut Vec<AgentAction>) {
-        if self.upstream.has_id(id) {
+    fn handle_deregistered(
+        &mut self,
+        now: TimeMs,
+        deregistration: UpstreamDeregistration,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let incarnation = self.upstream.incarnation();
+        let is_accepted = self
+            .departure
+            .deregister(deregistration.clone(), incarnation.as_ref());
+        if !is_accepted {
+            out.push(AgentAction::DeregistrationRejected(deregistration));
+            return;
+        }
+        self.confirm_departure(now, out);
+    }
+
+    /// Leaves if the upstream has deregistered. Before its first heartbeat, the flow record tells who it is.
+    fn confirm_departure(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
+        if let PreviousRecord::Pending(record) = &self.previous_record {
+            self.departure.confirm(&record.incarnation);
+        }
+        if !self.upstream.is_alive(now) {
+            self.departure.confirm_unheard();
+        }
+        if self.departure.is_gone() && self.phase != Phase::Gone {
             self.set_phase(now, Phase::Gone, out);
         }
     }
 
+    /// Returns whether the upstream of the latest heartbeat has deregistered.
+    fn has_left(&mut self, now: TimeMs) -> bool {
+        if let Some(incarnation) = self.upstream.incarnation() {
+            let heartbeat_ms = self.upstream.heartbeat_ms();
+            self.departure
+                .handle_heartbeat(now, &incarnation, heartbeat_ms);
+        }
+        self.departure.is_gone()
+    }
+
     fn handle_tick(&mut self, now: TimeMs, out: &mut Vec<AgentAction>) {
         while let Some((opening, pending)) = self.pending.next_timed_out_opening(now) {
             if self.flows.is_opened_by(&opening.segment) {
@@ -951,6 +994,7 @@
         if self.upstream.should_be_probed(now) {
             out.push(AgentAction::Probe);
         }
+        self.confirm_departure(now, out);
         if self.phase == Phase::Joining && self.is_join_complete(now) {
             self.phase = Phase::Serving;
         }
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -9,6 +9,7 @@
 mod balancer;
 mod class;
 mod cold_start;
+mod departure;
 mod evacuation;
 mod flow_table;
 mod gossip;
@@ -29,6 +30,7 @@
 pub use balancer::{BalancerDecision, BalancerMachine, ConfigurationTask, QueryPart, QueryResult};
 pub use class::RequestClass;
 pub use cold_start::{ColdStartLimit, ColdStartTolerance};
+pub use departure::UpstreamDeregistration;
 pub use evacuation::{Evacuations, MAX_EVACUATED_DOMAINS};
 pub use gossip::{GOSSIP_INTERVAL_MS, GossipAction, GossipEvent, GossipMachine};
 pub use message::{
--- a/crates/opaque/src/upstream.rs
+++ b/crates/opaque/src/upstream.rs
@@ -247,9 +247,8 @@
         })
     }
 
-    /// Returns whether `id` is the name of the upstream; true before its first heartbeat.
-    pub(crate) fn has_id(&self, id: &str) -> bool {
-        self.report.as_ref().is_none_or(|report| report.id == id)
+    pub(crate) const fn heartbeat_ms(&self) -> DurationMs {
+        self.heartbeat_ms
     }
 
     pub(crate) fn slots(&self) -> u32 {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -8,7 +8,7 @@
 use hawthorntide_opaque::{
     AgentAction, AgentEvent, AgentMachine, AgentOptions, AgentStatus, GOSSIP_INTERVAL_MS,
     GossipAction, GossipEvent, OpeningPolicy, Peer, PeerMessage, PeerRole, Search, Segment,
-    UpstreamIncarnation, decode,
+    UpstreamDeregistration, UpstreamIncarnation, decode,
 };
 use hawthorntide_platform::{
     HEADER_BYTES, HeartbeatError, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat,
@@ -357,6 +357,11 @@
                 sequence,
                 is_change,
             } => log_incarnation(&incarnation, sequence, is_change),
+            AgentAction::DeregistrationRejected(deregistration) => log::warn!(
+                upstream:% = deregistration.id,
+                born_ms = deregistration.born_ms;
+                "relay: Deregistration of another upstream rejected."
+            ),
             AgentAction::Probe => self.probe_requested.notify_one(),
             AgentAction::StatusChanged(status) => log_status(&status),
             AgentAction::Gossip(action) => self.perform_gossip(action, buffer),
@@ -664,8 +669,13 @@
         log::warn!("relay: Heartbeat of {id:?} rejected: {error}.");
     }
 
-    fn handle_deregistration(&self, id: &str) {
-        self.handle(AgentEvent::Deregistered(id.to_owned()), &mut [], None);
+    fn handle_deregistration(&self, deregistration: UpstreamDeregistration) -> bool {
+        let mut actions = Vec::new();
+        self.update_machine(AgentEvent::Deregistered(deregistration), &mut actions);
+        let is_rejected = |action: &_| matches!(action, AgentAction::DeregistrationRejected(_));
+        let is_accepted = !actions.iter().any(is_rejected);
+        self.perform_all(actions, &mut [], None);
+        is_accepted
     }
 
     fn metrics(&self) -> String {
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -9,7 +9,7 @@
 use hawthorntide_opaque::{
     BalancerDecision, BalancerMachine, BalancerStatus, ColdStartTolerance, Configuration,
     ConfigurationTask, GOSSIP_INTERVAL_MS, GossipEvent, Peer, PeerMessage, PeerRole, QueryPart,
-    QueryResult, Search, Segment, decode,
+    QueryResult, Search, Segment, UpstreamDeregistration, decode,
 };
 use hawthorntide_platform::{
     HeartbeatError, HttpServer, MAX_PACKET_BYTES, ProcessHandler, UpstreamHeartbeat, encode_reset,
@@ -501,8 +501,10 @@
         log::warn!("relay: Heartbeat of {id:?} rejected: {error}.");
     }
 
-    fn handle_deregistration(&self, id: &str) {
+    fn handle_deregistration(&self, deregistration: UpstreamDeregistration) -> bool {
+        let id = deregistration.id;
         log::warn!("relay: Deregistration of upstream {id:?} ignored: balancers have no upstream.");
+        true
     }
 
     fn metrics(&self) -> String {
