Take no late heartbeat of an earlier run for the first one after a restart

What callers saw: an agent restarts as planned, a late heartbeat of an earlier run of its upstream arrives before the first one of the present run, and all open flows of the upstream are reset.

Cause: the first heartbeat after a start of the agent was compared with nothing, although the flow record tells which run the agent knew.

Change: heartbeats are compared with the recorded incarnation until the first one is in force. One that came before the record was read is withdrawn. As before, an earlier start time counts once it is repeated and the later one is silent for three intervals: clocks may be set back.

Result: the new test failed before in both orders of record and heartbeat (acknowledged; flows reset).

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -326,6 +326,9 @@
                 self.handle_tick(now, out);
             }
             AgentEvent::RecordRead(record) => {
+                if let Some(record) = &record {
+                    self.upstream.set_recorded(now, record.incarnation.clone());
+                }
                 self.previous_record =
                     record.map_or(PreviousRecord::Resolved, PreviousRecord::Pending);
                 self.resolve_previous_record(now, out);
--- a/crates/opaque/src/upstream.rs
+++ b/crates/opaque/src/upstream.rs
@@ -90,6 +90,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamHealth {
     heartbeat_ms: DurationMs,
+    /// Incarnation that the agent knew before it restarted.
+    recorded: Option<UpstreamIncarnation>,
     report: Option<UpstreamReport>,
     contender: Option<Contender>,
     /// When the last heartbeat arrived or, before the first one, the agent started.
@@ -111,6 +113,7 @@
     pub(crate) const fn new(now: TimeMs, heartbeat_ms: DurationMs) -> Self {
         Self {
             heartbeat_ms,
+            recorded: None,
             report: None,
             contender: None,
             last_report: now,
@@ -204,14 +207,32 @@
         }
     }
 
-    /// Returns whether the report is older than the latest one.
+    /// Takes over the incarnation from the flow record. A heartbeat of an earlier one that arrived before
+    /// the record was read is not in force any more.
+    pub(crate) fn set_recorded(&mut self, now: TimeMs, recorded: UpstreamIncarnation) {
+        if let Some(report) = self
+            .report
+            .take_if(|report| report.born_ms < recorded.born_ms)
+        {
+            self.contender = Some(Contender { report, since: now });
+            self.cold_until = None;
+        }
+        self.recorded = Some(recorded);
+    }
+
+    /// Returns whether the report is older than the latest one or, before the first one, of an earlier
+    /// incarnation than the recorded one.
     ///
     /// Start times and sequence numbers go back if the clock of the upstream was set back before it
     /// restarted, or if another writer sent the latest heartbeat. So a report replaces the latest one
     /// although it is older, if that one's incarnation is silent while the report's goes on.
     fn is_stale(&mut self, now: TimeMs, report: &UpstreamReport) -> bool {
-        let known = self.report.as_ref();
-        if !known.is_some_and(|known| report.is_older_than(known)) {
+        let is_older = match (&self.report, &self.recorded) {
+            (Some(known), _) => report.is_older_than(known),
+            (None, Some(recorded)) => report.born_ms < recorded.born_ms,
+            (None, None) => false,
+        };
+        if !is_older {
             return false;
         }
         let contender = self.contender.take();
--- a/crates/opaque/tests/record.rs
+++ b/crates/opaque/tests/record.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use common::{Fleet, Outcome, agent_role, flow, opening, peer, peer_address, report};
+use common::{Fleet, HEARTBEAT_MS, Outcome, agent_role, flow, opening, peer, peer_address, report};
 use googletest::prelude::*;
 use hawthorntide_opaque::{
     AgentEvent, FlowRecord, Gossip, GossipEvent, Peer, PeerUpdate, ReplyKind, UpstreamIncarnation,
@@ -118,6 +118,52 @@
     expect_that!(fleet.reset_flows, is_empty());
 }
 
+// A late heartbeat of an earlier incarnation was the first one after a restart of the agent. The next one of
+// the upstream then counted as that of a new incarnation, and reset its open flows.
+#[gtest]
+fn a_late_heartbeat_before_the_first_one_of_the_upstream_resets_nothing() {
+    for record_comes_first in [true, false] {
+        let (mut fleet, flows) = fleet_with_flows();
+        let record = record_of(&mut fleet);
+        fleet.restart_agent(AGENT);
+        if record_comes_first {
+            read_record(&mut fleet, &record);
+        }
+        report_incarnation(&mut fleet, 0);
+        if !record_comes_first {
+            read_record(&mut fleet, &record);
+        }
+        let is_acknowledged = fleet.agents[&AGENT]
+            .machine
+            .is_latest_report(&report(0, 1, false));
+        expect_that!(is_acknowledged, eq(false), "{record_comes_first}");
+        for (key, number) in &flows {
+            fleet.send_on_flow(1, *key, *number);
+        }
+        report_incarnation(&mut fleet, 1);
+        expect_that!(fleet.reset_flows, is_empty(), "{record_comes_first}");
+        for (key, number) in flows {
+            let outcome = fleet.send_on_flow(1, key, number);
+            expect_that!(outcome, eq(Outcome::Accepted(AGENT)));
+        }
+    }
+}
+
+// The clock of a VM was set back before upstream and agent restarted: the upstream must be served although its
+// start time is before the recorded one.
+#[gtest]
+fn an_upstream_that_started_before_the_recorded_one_is_served_after_three_intervals() {
+    let (mut fleet, _) = fleet_with_flows();
+    let mut record = record_of(&mut fleet);
+    record.incarnation.born_ms = 7;
+    fleet.restart_agent(AGENT);
+    read_record(&mut fleet, &record);
+    fleet.run_for(5 * HEARTBEAT_MS);
+    expect_that!(fleet.agents[&AGENT].machine.phase(), eq(Phase::Serving));
+    expect_that!(fleet.open(1, flow(100, 0)), some(anything()));
+    expect_that!(fleet.reset_flows, is_empty());
+}
+
 // Until the upstream has reported its incarnation, the record of the agent's previous incarnation is
 // the only list of the flows to reset. It must not be overwritten.
 #[gtest]
