Let no field that others leave out end flows or refuse callers

A configuration of a balancer of an earlier build that lacks the mark of unreadable routes let unknown routes be refused. A flow record without the state of the upstream let a restarted agent take new flows for a draining upstream.

A flow record without the state counts as that of a draining upstream until a heartbeat tells.

The new tests fail on the code before: the configurations were parsed, and the agent served.

--- a/crates/opaque/src/class.rs
+++ b/crates/opaque/src/class.rs
@@ -5,7 +5,6 @@
 
 /// How agents schedule the requests of a route.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default)]
 pub struct RequestClass {
     pub kind: WorkKind,
     pub urgency: Urgency,
--- a/crates/opaque/src/record.rs
+++ b/crates/opaque/src/record.rs
@@ -48,12 +48,17 @@
 pub struct FlowRecord {
     #[serde(rename = "life")]
     pub incarnation: UpstreamIncarnation,
-    /// The upstream was draining. Records of earlier versions lack the field.
-    #[serde(default)]
+    /// The upstream was draining. Without the field it may have been: the agent then waits for a heartbeat
+    /// before it takes new flows.
+    #[serde(default = "may_drain")]
     pub is_draining: bool,
     pub flows: Vec<RecordedFlow>,
 }
 
+const fn may_drain() -> bool {
+    true
+}
+
 /// Flow record of the agent's previous incarnation.
 #[derive(Clone, Debug, Default)]
 pub(crate) enum PreviousRecord {
--- a/crates/opaque/src/route.rs
+++ b/crates/opaque/src/route.rs
@@ -22,8 +22,6 @@
     /// Address and port that callers use.
     pub service_address: SocketAddr,
     pub backends: Vec<Backend>,
-    /// Absent in configurations of earlier builds.
-    #[serde(default)]
     pub class: RequestClass,
 }
 
@@ -36,6 +34,9 @@
 }
 
 /// Versioned set of routes.
+///
+/// One that lacks a field, as another build may serve it, is not used: an unknown route would be refused
+/// although it may be among those that could not be read.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Configuration {
     /// Version set by the operator.
@@ -44,12 +45,9 @@
     pub routes: Vec<Route>,
     /// Idle timeout: the state of a flow may be removed after this time without packets.
     pub flow_idle_ms: DurationMs,
-    /// The operator's configuration has routes that could not be read. Absent in configurations of
-    /// earlier builds.
-    #[serde(default)]
+    /// The operator's configuration has routes that could not be read.
     pub has_unreadable_routes: bool,
-    /// Services with a limit for cold upstreams, sorted. Absent in configurations of earlier builds.
-    #[serde(default)]
+    /// Services with a limit for cold upstreams, sorted.
     pub cold_starts: Vec<ColdStart>,
 }
 
--- a/crates/opaque/tests/record.rs
+++ b/crates/opaque/tests/record.rs
@@ -1,13 +1,18 @@
-//! Tests of flow records after the loss of an agent, with or without its upstream.
+//! Tests of flow records after the loss of an agent, with or without its upstream, and of records that lack
+//! fields.
 
 mod common;
 
 use std::net::SocketAddr;
 
-use common::{Fleet, HEARTBEAT_MS, Outcome, agent_role, flow, opening, peer, peer_address, report};
+use common::{
+    Fleet, HEARTBEAT_MS, Outcome, agent_role, configuration, flow, opening, peer, peer_address,
+    report,
+};
 use googletest::prelude::*;
 use hawthorntide_opaque::{
-    AgentEvent, FlowRecord, Gossip, GossipEvent, Peer, PeerUpdate, ReplyKind, UpstreamIncarnation,
+    AgentEvent, Configuration, FlowRecord, Gossip, GossipEvent, Peer, PeerUpdate, ReplyKind,
+    UpstreamIncarnation,
 };
 use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, Phase};
@@ -216,6 +221,48 @@
     }
 }
 
+// A record without the field that tells of a drain counted as one of an upstream that takes new flows.
+#[gtest]
+fn a_record_without_the_state_of_the_upstream_counts_as_that_of_a_draining_one() {
+    let (mut fleet, _) = fleet_with_flows();
+    let mut value = serde_json::to_value(record_of(&mut fleet)).unwrap();
+    value.as_object_mut().unwrap().remove("is_draining");
+    let record: FlowRecord = serde_json::from_value(value).unwrap();
+    fleet.restart_agent(AGENT);
+    read_record(&mut fleet, &record);
+    fleet.now = fleet.now + DurationMs(20_000);
+    fleet.agent_event(AGENT, AgentEvent::Tick, None);
+    expect_that!(fleet.agents[&AGENT].machine.phase(), eq(Phase::Joining));
+    report_incarnation(&mut fleet, 1);
+    expect_that!(fleet.agents[&AGENT].machine.phase(), eq(Phase::Serving));
+}
+
+// A configuration of another build that does not tell of unreadable routes: unknown routes were refused
+// although they may be among these.
+#[gtest]
+fn a_configuration_that_lacks_a_field_is_not_used() {
+    let complete = serde_json::to_value(configuration(1, 1)).unwrap();
+    expect_that!(
+        serde_json::from_value::<Configuration>(complete.clone()),
+        ok(anything())
+    );
+    for field in ["has_unreadable_routes", "cold_starts"] {
+        let mut value = complete.clone();
+        value.as_object_mut().unwrap().remove(field);
+        expect_that!(
+            serde_json::from_value::<Configuration>(value),
+            err(anything()),
+            "{field}"
+        );
+    }
+    let mut value = complete;
+    value["routes"][0].as_object_mut().unwrap().remove("class");
+    expect_that!(
+        serde_json::from_value::<Configuration>(value),
+        err(anything())
+    );
+}
+
 // The writes of all agents together must stay within the limits of the store.
 #[gtest]
 fn the_record_interval_grows_with_the_number_of_agents_up_to_a_limit() {
