Let the soak pause the readers of logs

The soak wrote the logs of processes to files, so a process never waited for the reader of its log. It reads them through small pipes now.

--- a/soak/src/cli.rs
+++ b/soak/src/cli.rs
@@ -7,7 +7,7 @@
 /// Kinds of faults that a run draws.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
 pub(crate) enum FaultMix {
-    /// The mix `failures`, with evacuations, misleading upstreams and floods at the same time.
+    /// The mix `failures`, with evacuations, misleading upstreams, floods and unread logs at the same time.
     All,
     /// Faults of processes, upstreams and the store, and route changes, with a short pause between two
     /// of them.
@@ -21,6 +21,8 @@
     Configuration,
     /// Planned work only: no open flow may be reset while its upstream runs. Callers use ports again.
     Planned,
+    /// The mix `planned` while nobody reads the logs of some processes.
+    Logs,
 }
 
 /// Runs balancers and agents as processes, injects random faults, and checks what simulated callers
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -72,6 +72,10 @@
     },
     /// Many callers call one service without pauses.
     Flood,
+    /// Nobody reads the log of a balancer.
+    PauseBalancerLog(usize),
+    /// Nobody reads the log of an agent.
+    PauseAgentLog(usize),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,7 +99,7 @@
         FaultMix::All | FaultMix::Failures => plan_failures(random, run, random_fault),
         FaultMix::Evacuations | FaultMix::Overload => plan_failures(random, run, process_fault),
         FaultMix::Configuration => plan_configuration(random, run, balancers, agents),
-        FaultMix::Planned => plan_planned_work(random, run, balancers, agents),
+        FaultMix::Planned | FaultMix::Logs => plan_planned_work(random, run, balancers, agents),
     };
     if matches!(mix, FaultMix::All | FaultMix::Evacuations) {
         faults.extend(plan_evacuations(random, run));
@@ -103,6 +107,34 @@
     if matches!(mix, FaultMix::All | FaultMix::Overload) {
         faults.extend(plan_overload(random, run, agents));
     }
+    if matches!(mix, FaultMix::All | FaultMix::Logs) {
+        faults.extend(plan_unread_logs(random, run, balancers, agents));
+    }
+    faults
+}
+
+/// Plans pauses of the readers of logs, which are long enough to fill the pipes and overlap.
+fn plan_unread_logs(
+    random: &mut ChaCha8Rng,
+    run: Duration,
+    balancers: usize,
+    agents: usize,
+) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(300);
+    while at < run {
+        let index = random.random_range(0..balancers + agents);
+        let fault = match index.checked_sub(balancers) {
+            None => Fault::PauseBalancerLog(index),
+            Some(agent) => Fault::PauseAgentLog(agent),
+        };
+        faults.push(PlannedFault {
+            at,
+            duration: random_ms(random, 4_000..15_000),
+            fault,
+        });
+        at += random_ms(random, 200..2_500);
+    }
     faults
 }
 
@@ -304,7 +336,9 @@
             | Fault::RenewEvacuation(_)
             | Fault::AddAgent
             | Fault::MisleadUpstream { .. }
-            | Fault::Flood => {}
+            | Fault::Flood
+            | Fault::PauseBalancerLog(_)
+            | Fault::PauseAgentLog(_) => {}
             Fault::TerminateAgent(_)
             | Fault::RetireUpstream(_)
             | Fault::KillBalancer(_)
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod evacuations;
 mod faults;
+mod log_reader;
 mod process;
 mod record;
 mod scheduling;
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -1,11 +1,12 @@
 //! Processes under test and the signals that are sent to them.
 
-use std::fs::{File, OpenOptions};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use anyhow::Context;
 
+use crate::log_reader::LogReader;
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Signal {
     Stop,
@@ -34,7 +35,7 @@
     binary: PathBuf,
     role: &'static str,
     settings: PathBuf,
-    log: PathBuf,
+    log: LogReader,
     child: Option<Child>,
     is_terminated: bool,
 }
@@ -55,7 +56,7 @@
             binary: binary.to_owned(),
             role,
             settings: path,
-            log: directory.join(format!("{name}.log")),
+            log: LogReader::spawn(&directory.join(format!("{name}.log")))?,
             child: None,
             is_terminated: false,
         };
@@ -63,20 +64,23 @@
         Ok(process)
     }
 
+    /// Lets the reader of the log pause or go on.
+    pub(crate) fn set_log_paused(&self, is_paused: bool) {
+        self.log.set_paused(is_paused);
+    }
+
     /// Starts the process unless it is running; appends to its log.
     pub(crate) fn start(&mut self) -> anyhow::Result<()> {
         if self.is_running() {
             return Ok(());
         }
-        let log = OpenOptions::new().create(true).append(true).open(&self.log);
-        let log: File = log.with_context(|| self.log.display().to_string())?;
         let child = Command::new(&self.binary)
             .arg(self.role)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(self.log.writer()?)
+            .stderr(self.log.writer()?)
             .spawn()
             .with_context(|| format!("cannot start {}", self.binary.display()))?;
         self.child = Some(child);
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -100,7 +100,10 @@
 pub(crate) async fn run(cli: &Cli) -> anyhow::Result<usize> {
     let directory = directory(cli)?;
     println!("soak: seed {}, logs in {}", cli.seed, directory.display());
-    let record = Arc::new(RunRecord::new(cli.mix == FaultMix::Planned));
+    let record = Arc::new(RunRecord::new(matches!(
+        cli.mix,
+        FaultMix::Planned | FaultMix::Logs
+    )));
     let deployment = Deployment::spawn(cli, &directory).await?;
     wait_until_ready(&deployment, cli).await?;
     let mut random = ChaCha8Rng::seed_from_u64(cli.seed);
@@ -334,6 +337,10 @@
             }
             Fault::MisleadUpstream { agent, behavior } => self.mislead_upstream(agent, behavior),
             Fault::Flood => record.begin_disturbance(FLOOD),
+            Fault::PauseBalancerLog(index) => self.deployment.balancers[index].set_log_paused(true),
+            Fault::PauseAgentLog(index) => {
+                self.deployment.agents[index].process.set_log_paused(true);
+            }
         }
         Ok(duration)
     }
@@ -412,6 +419,12 @@
             Fault::EvacuateAll => self.set_all_evacuated(false),
             Fault::MisleadUpstream { agent, .. } => self.end_misleading(agent),
             Fault::Flood => record.end_disturbance(FLOOD),
+            Fault::PauseBalancerLog(index) => {
+                self.deployment.balancers[index].set_log_paused(false);
+            }
+            Fault::PauseAgentLog(index) => {
+                self.deployment.agents[index].process.set_log_paused(false);
+            }
         }
         Ok(())
     }
--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -116,6 +116,18 @@
     expect_that!(text.matches("TerminateAgent").count(), ge(3), "{text}");
 }
 
+// Nobody reads the logs of some processes during planned work: no flow of a running upstream may be reset.
+#[gtest]
+fn no_flow_is_reset_while_logs_are_not_read() {
+    let text = expect_no_violation(Run {
+        seed: 21,
+        seconds: 15,
+        mix: "logs",
+        balancers: 3,
+    });
+    expect_that!(text.matches("PauseAgentLog").count(), ge(3), "{text}");
+}
+
 // Guards against flows that open in an evacuated failure domain, among other faults, and against ones that
 // do not return after the evacuation. Evacuations must be in force during the run.
 #[gtest]
