Pass on no reset from a port without an upstream to callers of others

What callers saw: an open flow is reset by the agent of another VM whose upstream has not started yet.

Cause: a balancer that does not know the owner of a flow queries all agents. Each delivers the packet to its upstream. A port on which nobody listens answers with a reset, which the agent passed on.

Change: an agent withholds a reset for a flow that it does not know if the packet was a query, which it answers itself, and any such reset before the first heartbeat. Resets that an upstream sends on its own flows pass as before.

Both new tests failed before.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -650,6 +650,9 @@
         segment: &Segment,
         out: &mut Vec<AgentAction>,
     ) {
+        if segment.kind == SegmentKind::Reset && self.withhold_reset(&segment.flow, out) {
+            return;
+        }
         self.upstream.record_activity();
         let is_request_held = self.requests.is_waiting(&segment.flow);
         let change = self
@@ -681,6 +684,27 @@
         }
     }
 
+    /// Returns whether a reset from the upstream's address must not reach the caller, whose flow may be open at
+    /// another upstream. A port on which no upstream listens yet, or any more, answers packets with resets.
+    fn withhold_reset(&self, flow: &FlowKey, out: &mut Vec<AgentAction>) -> bool {
+        if self.flows.contains(flow) {
+            return false;
+        }
+        let search = self.pending.latest_search(flow);
+        if let Some(query) = search.filter(|search| search.is_parallel) {
+            out.push(AgentAction::AnswerNotOwned {
+                to: query.balancer,
+                flow: *flow,
+            });
+            return true;
+        }
+        let is_unheard = self.upstream.incarnation().is_none();
+        if is_unheard {
+            out.push(AgentAction::Drop(ResultCode::EndpointUnknown));
+        }
+        is_unheard
+    }
+
     /// Announces an accepted flow to the balancers in the failure domain whose balancer received
     /// the opening packet, unless they would try this agent first anyway.
     fn handle_accepted(&mut self, now: TimeMs, flow: FlowKey, out: &mut Vec<AgentAction>) {
--- a/crates/opaque/src/pending.rs
+++ b/crates/opaque/src/pending.rs
@@ -74,6 +74,15 @@
         slot.take().map(|(_, pending)| pending)
     }
 
+    /// Returns the search of the latest packet of `flow` that was delivered and not returned.
+    pub(crate) fn latest_search(&self, flow: &FlowKey) -> Option<&Search> {
+        let pending = self.slots.iter().flatten();
+        let of_flow = pending.filter(|(_, pending)| pending.flow == *flow);
+        let age = |token: u32| self.last_token.wrapping_sub(token);
+        let latest = of_flow.min_by_key(|(token, _)| age(*token));
+        latest.map(|(_, pending)| &pending.search)
+    }
+
     /// Removes the oldest opening packet whose timeout has expired, unless the upstream returned it.
     pub(crate) fn next_timed_out_opening(
         &mut self,
--- a/crates/opaque/tests/dead_upstream.rs
+++ b/crates/opaque/tests/dead_upstream.rs
@@ -2,9 +2,15 @@
 
 mod common;
 
-use common::{Behaviour, Fleet, HEARTBEAT_MS, Outcome, flow, report};
+use common::{
+    Behaviour, Fleet, HEARTBEAT_MS, Outcome, established, flow, peer_address, report, service,
+};
 use googletest::prelude::*;
-use hawthorntide_opaque::{AgentEvent, UpstreamReport};
+use hawthorntide_opaque::{
+    AgentAction, AgentEvent, DomainTag, OpeningTerms, RequestClass, Search, Segment, SegmentKind,
+    UpstreamReport,
+};
+use hawthorntide_routing::FlowKey;
 use hawthorntide_types::{DurationMs, Phase, ResultCode};
 
 /// Opens flows, kills the upstream with the most flows and sends it a packet, so that its agent probes
@@ -133,3 +139,60 @@
     }
     expect_that!(fleet.reset_flows, is_empty());
 }
+
+/// Delivers a packet of an open flow of another upstream to agent 101, whose upstream's port answers with a
+/// reset. Returns the actions that follow.
+fn answer_with_reset(fleet: &mut Fleet, key: FlowKey, is_parallel: bool) -> Vec<AgentAction> {
+    let machine = &mut fleet.agents.get_mut(&101).unwrap().machine;
+    let search = Search {
+        balancer: peer_address(1),
+        preferred_domain: DomainTag::default(),
+        service: service(0),
+        is_fallback_service: false,
+        visited: Vec::new(),
+        is_parallel,
+        terms: OpeningTerms::default(),
+        class: RequestClass::default(),
+    };
+    let event = AgentEvent::Forwarded {
+        search,
+        segment: established(key, 7),
+        packet: b"request",
+    };
+    machine.handle(fleet.now, event, &mut Vec::new());
+    let reset = Segment {
+        kind: SegmentKind::Reset,
+        ..established(key, 0)
+    };
+    let mut actions = Vec::new();
+    machine.handle(fleet.now, AgentEvent::Sent(reset), &mut actions);
+    actions
+}
+
+// Nobody listens yet at the port of a new upstream, which answers with a reset: it reached callers whose flows
+// were open at another upstream and looked for in a query.
+#[gtest]
+fn a_reset_of_a_port_without_an_upstream_does_not_reach_the_callers_of_others() {
+    for is_parallel in [true, false] {
+        let mut fleet = Fleet::new(1, 1, 1);
+        fleet.add_agent(101, 0);
+        let actions = answer_with_reset(&mut fleet, flow(1, 0), is_parallel);
+        expect_that!(actions, not(contains(eq(&AgentAction::Reply))));
+        let not_owned = AgentAction::AnswerNotOwned {
+            to: peer_address(1),
+            flow: flow(1, 0),
+        };
+        expect_that!(actions.contains(&not_owned), eq(is_parallel));
+    }
+}
+
+// The same after the crash of an upstream, whose own callers must hear of resets of flows that had ended.
+#[gtest]
+fn a_reset_that_answers_a_query_does_not_reach_the_caller() {
+    let mut fleet = Fleet::new(1, 2, 1);
+    fleet.send_heartbeat(101);
+    let actions = answer_with_reset(&mut fleet, flow(1, 0), true);
+    expect_that!(actions, not(contains(eq(&AgentAction::Reply))));
+    let actions = answer_with_reset(&mut fleet, flow(2, 0), false);
+    expect_that!(actions, contains(eq(&AgentAction::Reply)));
+}
