--- a/crates/logging/src/logger.rs
+++ b/crates/logging/src/logger.rs
@@ -49,26 +49,26 @@
 }
 
 impl Log {
-    /// Starts the logger, which also gets the messages of panics.
-    pub fn start(settings: LogSettings) -> Result<Self, LogError> {
+    /// Starts the logger, which also gets the messages of panics, and the thread that writes its lines.
+    pub fn spawn(settings: LogSettings) -> Result<Self, LogError> {
         let specification = LogSpecification::parse(SPECIFICATION)?;
-        let log = Self::start_with(settings, specification)?;
+        let log = Self::spawn_with(settings, specification)?;
         set_log_level(settings.level);
         Ok(log)
     }
 
     /// Starts a logger on standard error with the levels of the variable `RUST_LOG`, or with `default`. The
     /// number of lines per second is not limited.
-    pub fn start_from_environment(default: &str) -> Result<Self, LogError> {
+    pub fn spawn_from_environment(default: &str) -> Result<Self, LogError> {
         let specification = LogSpecification::env_or_parse(default)?;
         let settings = LogSettings {
             lines_per_second: u32::MAX,
             ..LogSettings::default()
         };
-        Self::start_with(settings, specification)
+        Self::spawn_with(settings, specification)
     }
 
-    fn start_with(
+    fn spawn_with(
         settings: LogSettings,
         specification: LogSpecification,
     ) -> Result<Self, LogError> {
--- a/crates/logging/src/pending.rs
+++ b/crates/logging/src/pending.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Line {
     level: Level,
-    bytes: usize,
+    size_bytes: usize,
 }
 
 /// Whole lines that are written at once.
@@ -96,7 +96,7 @@
         self.bytes.extend_from_slice(line);
         self.lines.push(Line {
             level,
-            bytes: line.len(),
+            size_bytes: line.len(),
         });
         true
     }
@@ -135,10 +135,10 @@
             let first_line = next_line;
             let mut end = start;
             while let Some(line) = self.lines.get(next_line) {
-                if next_line > first_line && end + line.bytes - start > ATOMIC_WRITE_BYTES {
+                if next_line > first_line && end + line.size_bytes - start > ATOMIC_WRITE_BYTES {
                     break;
                 }
-                end += line.bytes;
+                end += line.size_bytes;
                 next_line += 1;
             }
             let bytes = &self.bytes[start..end];
--- a/crates/logging/tests/logging.rs
+++ b/crates/logging/tests/logging.rs
@@ -44,7 +44,7 @@
         output: LogOutput::Stderr,
         lines_per_second: 10,
     };
-    let _log = Log::start(settings).unwrap();
+    let _log = Log::spawn(settings).unwrap();
     let target = "hawthorntide_balancer";
     match child.as_str() {
         "flood" => {
--- a/src/emulate.rs
+++ b/src/emulate.rs
@@ -37,7 +37,7 @@
     arguments: EmulateArguments,
     format: OutputFormat,
 ) -> Result<ResultCode, Failure> {
-    let _log = role::start_log(LogSettings::default())?;
+    let _log = role::spawn_log(LogSettings::default())?;
     match arguments.command {
         EmulateCommand::Platform(arguments) => platform(&arguments).await,
         EmulateCommand::Upstream(arguments) => upstream(arguments).await,
--- a/src/role.rs
+++ b/src/role.rs
@@ -18,7 +18,7 @@
     serve: impl Future<Output = Result<ResultCode, Failure>>,
 ) -> Result<ResultCode, Failure> {
     install_metrics();
-    let _log = start_log(log)?;
+    let _log = spawn_log(log)?;
     let runtime = runtime(worker_count)?;
     let code = runtime.block_on(serve);
     runtime.shutdown_background();
@@ -31,13 +31,13 @@
     serve: impl Future<Output = Result<ResultCode, Failure>>,
 ) -> Result<ResultCode, Failure> {
     install_metrics();
-    let _log = start_log(log)?;
+    let _log = spawn_log(log)?;
     crate::block_on(serve)
 }
 
 /// Starts the logger, which runs until its handle is dropped.
-pub(crate) fn start_log(settings: LogSettings) -> Result<Log, Failure> {
-    Log::start(settings).map_err(|error| Failure::new(ResultCode::Failure, error))
+pub(crate) fn spawn_log(settings: LogSettings) -> Result<Log, Failure> {
+    Log::spawn(settings).map_err(|error| Failure::new(ResultCode::Failure, error))
 }
 
 fn runtime(worker_count: usize) -> Result<Runtime, Failure> {
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -10,7 +10,7 @@
 use crate::cli::TrialArguments;
 
 pub(crate) fn run(arguments: TrialArguments) -> ResultCode {
-    let log = Log::start_from_environment("warn");
+    let log = Log::spawn_from_environment("warn");
     if let Err(error) = &log {
         eprintln!("hawthorntide: {error}");
     }
