--- a/review/lib3/src/deployment.rs
+++ b/review/lib3/src/deployment.rs
@@ -2,11 +2,11 @@
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::Path;
-use std::thread;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::caller::Caller;
-use crate::endpoint::{Endpoint, EndpointOptions, Observations};
+use crate::busy::{Counts, EndpointOptions, spawn_caller, spawn_endpoint};
 use crate::json::Json;
 use crate::process::Process;
 use crate::record::Record;
@@ -22,9 +22,9 @@
 const INTERNAL_PORTS: [u16; 2] = [7720, 7721];
 
 /// Address of the route, which only appears inside packets.
-pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
-pub const SERVICE: &str = "desk";
+const SERVICE: &str = "desk";
 
 /// Size and timing of a deployment.
 #[derive(Clone, Debug)]
@@ -36,11 +36,10 @@
     pub agents: Vec<usize>,
     pub heartbeat: Duration,
     pub slots: usize,
-    pub queue: usize,
-    pub work: Duration,
     /// `sloMs` and `timeoutMs` of the route.
     pub slo_ms: u64,
     pub timeout_ms: u64,
+    pub counts: Arc<Counts>,
 }
 
 /// Running deployment. Its processes end when it is dropped.
@@ -49,11 +48,7 @@
     pub plan: Plan,
     pub balancers: Vec<Process>,
     pub agents: Vec<Process>,
-    pub endpoints: Vec<Endpoint>,
-    pub store: Store,
-    pub router: Router,
-    pub seen: Observations,
-    pub record: Record,
+    router: Router,
     network: u8,
 }
 
@@ -61,9 +56,7 @@
     /// Starts everything and waits until all balancers are in rotation.
     pub fn start(plan: Plan, folder: &Path, record: &Record) -> std::io::Result<Self> {
         let (network, store) = bind_store()?;
-        let seen = Observations::default();
         store.write("config", "main", configuration(1, &plan));
-        let mut endpoints = Vec::new();
         let mut agents = Vec::new();
         for (index, zone) in plan.agents.iter().enumerate() {
             let at = |port| address(network, 2, index, port);
@@ -76,12 +69,15 @@
                 control: at(CONTROL_PORT),
                 heartbeat: plan.heartbeat,
                 slots: plan.slots,
-                queue: plan.queue,
-                work: plan.work,
             };
-            endpoints.push(Endpoint::spawn(options, &seen, record)?);
+            spawn_endpoint(options, &plan.counts)?;
             let settings = agent_settings(network, index, &plan);
-            agents.push(Process::spawn(folder, &format!("agent-{}", index + 1), "agent", &settings)?);
+            agents.push(Process::spawn(
+                folder,
+                &format!("agent-{}", index + 1),
+                "agent",
+                &settings,
+            )?);
         }
         let mut balancers = Vec::new();
         let mut nodes = Vec::new();
@@ -101,36 +97,42 @@
             plan,
             balancers,
             agents,
-            endpoints,
-            store,
             router,
-            seen,
-            record: record.clone(),
             network,
         };
-        if !wait_until(Duration::from_secs(15), || deployment.router.all_in_rotation()) {
+        if !wait_until(Duration::from_secs(15), || {
+            deployment.router.all_in_rotation()
+        }) {
             return Err(std::io::Error::other("the balancers did not become ready"));
         }
         Ok(deployment)
     }
 
-    /// Creates a requester in `zone` with its own address.
-    pub fn caller(&self, number: usize, zone: usize) -> std::io::Result<Caller> {
+    /// Starts a requester in `zone` that sends many small requests on `flows` flows.
+    pub fn caller(
+        &self,
+        number: usize,
+        zone: usize,
+        flows: u16,
+    ) -> std::io::Result<JoinHandle<()>> {
         let SocketAddr::V4(address) = address(self.network, 3, number, DATA_PORT) else {
             return Err(std::io::Error::other("not an IPv4 address"));
         };
-        let port = 40_001 + number as u16;
-        let name = format!("caller-{number}");
-        Caller::bind(&name, zone, address, port, ROUTE, &self.router, &self.record)
+        spawn_caller(zone, address, flows, ROUTE, &self.router, &self.plan.counts)
+    }
+
+    /// Returns the address at which an agent serves its metrics.
+    pub fn agent_metrics(&self, index: usize) -> SocketAddr {
+        address(self.network, 2, index, INTERNAL_PORTS[1])
     }
 }
 
-pub fn endpoint_name(index: usize) -> String {
+fn endpoint_name(index: usize) -> String {
     format!("endpoint-{}", index + 1)
 }
 
 /// Waits until `is_done` returns true; returns whether it did within `limit`.
-pub fn wait_until(limit: Duration, is_done: impl Fn() -> bool) -> bool {
+fn wait_until(limit: Duration, is_done: impl Fn() -> bool) -> bool {
     let end = Instant::now() + limit;
     while Instant::now() < end {
         if is_done() {
@@ -142,7 +144,7 @@
 }
 
 /// Configuration with one route.
-pub fn configuration(version: u64, plan: &Plan) -> Json {
+fn configuration(version: u64, plan: &Plan) -> Json {
     let text = format!(
         "{{\"version\":{version},\"routes\":[{{\"host\":\"{}\",\"pathPrefix\":\"/{}/\",\
          \"service\":\"{SERVICE}\",\"type\":\"unsafe\",\"timeoutMs\":{},\"sloMs\":{},\"priority\":1}}],\
--- a/review/lib3/src/http.rs
+++ b/review/lib3/src/http.rs
@@ -20,7 +20,10 @@
 
 impl Request {
     pub fn parameter(&self, name: &str) -> Option<&str> {
-        self.query.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+        self.query
+            .iter()
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| value.as_str())
     }
 }
 
@@ -73,7 +76,9 @@
     Some(Request {
         method,
         path: path.to_owned(),
-        query: query.map(|(key, value)| (key.to_owned(), value.to_owned())).collect(),
+        query: query
+            .map(|(key, value)| (key.to_owned(), value.to_owned()))
+            .collect(),
         body: String::from_utf8_lossy(&body).into_owned(),
     })
 }
@@ -96,7 +101,13 @@
 }
 
 /// Makes a call on a new connection; returns the status, or `None` without an answer in time.
-pub fn call(address: SocketAddr, method: &str, path: &str, body: &str, limit: Duration) -> Option<u16> {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit: Duration,
+) -> Option<u16> {
     let mut stream = TcpStream::connect_timeout(&address, limit).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
     let text = format!(
--- a/review/lib3/src/json.rs
+++ b/review/lib3/src/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.skip_space();
         (reader.at == reader.bytes.len()).then_some(value)
--- a/review/lib3/src/lib.rs
+++ b/review/lib3/src/lib.rs
@@ -1,9 +1,8 @@
 //! Stand-ins for the platform, endpoints and requesters of the review, and helpers to start the
 //! processes under test. They use the standard library only.
 
-pub mod caller;
+pub mod busy;
 pub mod deployment;
-pub mod endpoint;
 pub mod http;
 pub mod json;
 pub mod packet;
@@ -11,4 +10,3 @@
 pub mod record;
 pub mod router;
 pub mod store;
-pub mod stream;
--- a/review/lib3/src/packet.rs
+++ b/review/lib3/src/packet.rs
@@ -8,7 +8,6 @@
 pub const RST: u8 = 1;
 pub const ACK: u8 = 2;
 pub const SYN: u8 = 4;
-pub const FIN: u8 = 8;
 pub const BOUNCED: u8 = 64;
 
 /// Key of the sum, which only requesters and endpoints know.
@@ -44,7 +43,9 @@
     /// Decodes a packet; returns it with whether its sum is that of its sender.
     pub fn decode(bytes: &[u8]) -> Option<(Packet, bool)> {
         let header = bytes.get(..HEADER)?;
-        let word = |at: usize| u32::from_be_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]]);
+        let word = |at: usize| {
+            u32::from_be_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]])
+        };
         let half = |at: usize| u16::from_be_bytes([header[at], header[at + 1]]);
         let data = bytes[HEADER..].to_vec();
         if usize::from(half(18)) != data.len() {
@@ -83,7 +84,9 @@
             17 => continue,
             _ => *byte,
         };
-        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193).rotate_left(5);
+        hash = (hash ^ u32::from(byte))
+            .wrapping_mul(0x0100_0193)
+            .rotate_left(5);
     }
     hash.max(1)
 }
--- a/review/lib3/src/process.rs
+++ b/review/lib3/src/process.rs
@@ -3,16 +3,6 @@
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::thread;
-use std::time::{Duration, Instant};
-
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
 
 #[derive(Debug)]
 pub struct Process {
@@ -53,11 +43,12 @@
         Ok(())
     }
 
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            // SAFETY: `kill` takes two integers; the child is not waited for yet, so its id is its own.
-            unsafe { kill(child.id() as i32, signal) };
-        }
+    /// Returns the memory that the process occupies, in kilobytes.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let child = self.child.as_ref()?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
     }
 
     /// Kills the process at once.
@@ -67,24 +58,6 @@
             let _ = child.wait();
         }
     }
-
-    pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
-    /// Waits for the end of the process; kills it after `limit`. Returns whether it ended by itself.
-    pub fn wait(&mut self, limit: Duration) -> bool {
-        let end = Instant::now() + limit;
-        while Instant::now() < end {
-            if !self.is_running() {
-                self.kill();
-                return true;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        self.kill();
-        false
-    }
 }
 
 impl Drop for Process {
--- a/review/lib3/src/record.rs
+++ b/review/lib3/src/record.rs
@@ -15,7 +15,10 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { start: Instant::now(), file })
+        Ok(Self {
+            start: Instant::now(),
+            file,
+        })
     }
 
     pub fn now_ms(&self) -> u64 {
--- a/review/lib3/src/router.rs
+++ b/review/lib3/src/router.rs
@@ -61,20 +61,24 @@
         }
     }
 
-    pub fn in_rotation(&self, index: usize) -> bool {
-        self.misses()[index] < MAX_MISSES
-    }
-
     pub fn all_in_rotation(&self) -> bool {
         self.misses().iter().all(|misses| *misses < MAX_MISSES)
     }
 
     /// Selects the balancer for a packet of a requester in `zone` (`hash` = `mod`).
-    pub fn select(&self, zone: usize, source: SocketAddrV4, destination: SocketAddrV4) -> SocketAddr {
+    pub fn select(
+        &self,
+        zone: usize,
+        source: SocketAddrV4,
+        destination: SocketAddrV4,
+    ) -> SocketAddr {
         let misses = self.misses();
         let of = |is_wanted: &dyn Fn(usize, &Node) -> bool| -> Vec<SocketAddr> {
             let nodes = self.nodes.iter().enumerate();
-            nodes.filter(|(index, node)| is_wanted(*index, node)).map(|(_, node)| node.data).collect()
+            nodes
+                .filter(|(index, node)| is_wanted(*index, node))
+                .map(|(_, node)| node.data)
+                .collect()
         };
         let is_used = |index: usize| misses[index] < MAX_MISSES;
         let all_of_zone = of(&|_, node| node.zone == zone);
@@ -94,7 +98,12 @@
 fn hash(source: SocketAddrV4, destination: SocketAddrV4) -> u32 {
     let mut hash = 0x811c_9dc5_u32;
     for address in [source, destination] {
-        for byte in address.ip().octets().into_iter().chain(address.port().to_be_bytes()) {
+        for byte in address
+            .ip()
+            .octets()
+            .into_iter()
+            .chain(address.port().to_be_bytes())
+        {
             hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
         }
     }
--- a/review/lib3/src/store.rs
+++ b/review/lib3/src/store.rs
@@ -31,8 +31,13 @@
 
 impl Store {
     pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        let objects = Objects { revision: 1, ..Objects::default() };
-        let store = Self { shared: Arc::new((Mutex::new(objects), Condvar::new())) };
+        let objects = Objects {
+            revision: 1,
+            ..Objects::default()
+        };
+        let store = Self {
+            shared: Arc::new((Mutex::new(objects), Condvar::new())),
+        };
         let served = store.clone();
         http::serve(address, move |request| served.handle(request))?;
         Ok(store)
@@ -77,14 +82,20 @@
         let body = Json::Object(vec![
             ("items".into(), Json::List(items)),
             ("hasMore".into(), Json::Bool(false)),
-            ("storeRevision".into(), Json::Number(objects.revision as f64)),
+            (
+                "storeRevision".into(),
+                Json::Number(objects.revision as f64),
+            ),
         ]);
         answer(200, &body.write())
     }
 
     fn watch(&self, kind: &str, from: &str, request: &Request) -> Answer {
         let from: u64 = from.parse().unwrap_or(0);
-        let wait_ms = request.parameter("waitMs").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let wait_ms = request
+            .parameter("waitMs")
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut objects = self.objects();
         loop {
@@ -100,7 +111,10 @@
                 });
                 let body = Json::Object(vec![
                     ("events".into(), Json::List(events.collect())),
-                    ("storeRevision".into(), Json::Number(objects.revision as f64)),
+                    (
+                        "storeRevision".into(),
+                        Json::Number(objects.revision as f64),
+                    ),
                 ]);
                 return answer(200, &body.write());
             }
@@ -163,7 +177,9 @@
 
 impl Objects {
     fn find(&self, kind: &str, name: &str) -> Option<Json> {
-        self.current.get(&(kind.to_owned(), name.to_owned())).cloned()
+        self.current
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned()
     }
 
     fn put(&mut self, kind: &str, name: &str, spec: Json) -> Json {
@@ -179,7 +195,8 @@
             ("spec".into(), spec),
             ("status".into(), Json::Null),
         ]);
-        self.current.insert((kind.to_owned(), name.to_owned()), object.clone());
+        self.current
+            .insert((kind.to_owned(), name.to_owned()), object.clone());
         self.history.push(Change {
             kind: kind.to_owned(),
             object: object.clone(),
@@ -196,5 +213,8 @@
 }
 
 fn answer(status: u16, body: &str) -> Answer {
-    Answer { status, body: body.to_owned() }
+    Answer {
+        status,
+        body: body.to_owned(),
+    }
 }
