--- a/review/lib3/src/bin/memory.rs
+++ b/review/lib3/src/bin/memory.rs
@@ -67,6 +67,8 @@
         slots: 3,
         slo_ms: 400,
         timeout_ms: 5_000,
+        has_evacuations: false,
+        first_revision: 1,
         counts: Arc::clone(&counts),
     };
     let started = Instant::now();
--- a/review/lib3/src/busy.rs
+++ b/review/lib3/src/busy.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -35,6 +35,23 @@
     pub run: AtomicU64,
     pub resets: AtomicU64,
     pub is_over: AtomicBool,
+    taken: Mutex<Vec<Taken>>,
+}
+
+/// Opening packet that an endpoint took.
+#[derive(Clone, Copy, Debug)]
+pub struct Taken {
+    pub source: SocketAddrV4,
+    /// Where the endpoint sends its packets.
+    pub outbound: SocketAddr,
+    pub at: Instant,
+}
+
+impl Counts {
+    /// Returns the opening packets that endpoints took.
+    pub fn taken(&self) -> MutexGuard<'_, Vec<Taken>> {
+        self.taken.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -99,7 +116,14 @@
         };
         let key = (packet.src, packet.dst);
         if packet.has(SYN) {
-            let flow = flows.entry(key).or_insert_with(|| new_flow(packet.seq));
+            let flow = flows.entry(key).or_insert_with(|| {
+                counts.taken().push(Taken {
+                    source: packet.src,
+                    outbound,
+                    at: Instant::now(),
+                });
+                new_flow(packet.seq)
+            });
             if flow.peer_initial != packet.seq {
                 *flow = new_flow(packet.seq);
             }
@@ -157,14 +181,14 @@
 }
 
 #[derive(Debug)]
-struct CallerFlow {
-    local: SocketAddrV4,
+pub(crate) struct CallerFlow {
+    pub(crate) local: SocketAddrV4,
     /// The last packet that waits for an answer.
-    pending: Packet,
-    sent_at: Instant,
-    timeout: Duration,
-    is_open: bool,
-    requests: u64,
+    pub(crate) pending: Packet,
+    pub(crate) sent_at: Instant,
+    pub(crate) timeout: Duration,
+    pub(crate) is_open: bool,
+    pub(crate) requests: u64,
 }
 
 /// Starts a requester with `flows` flows, which sends the next request on each as soon as the last one is
@@ -235,7 +259,7 @@
     }
 }
 
-fn open_flow(local: SocketAddrV4, route: SocketAddrV4) -> CallerFlow {
+pub(crate) fn open_flow(local: SocketAddrV4, route: SocketAddrV4) -> CallerFlow {
     CallerFlow {
         local,
         pending: Packet {
@@ -253,7 +277,7 @@
     }
 }
 
-fn retransmit(flow: &mut CallerFlow, is_first: bool) {
+pub(crate) fn retransmit(flow: &mut CallerFlow, is_first: bool) {
     flow.sent_at = Instant::now();
     if !is_first {
         flow.timeout = (flow.timeout * 2).min(LONGEST_TIMEOUT);
@@ -264,7 +288,7 @@
 }
 
 /// Handles a packet of the endpoint; returns whether the next request is to be sent.
-fn advance(flow: &mut CallerFlow, packet: &Packet, counts: &Counts) -> bool {
+pub(crate) fn advance(flow: &mut CallerFlow, packet: &Packet, counts: &Counts) -> bool {
     let (next, acknowledged) = if packet.has(SYN) {
         if flow.is_open || packet.ack != flow.pending.seq.wrapping_add(1) {
             return false;
--- a/review/lib3/src/deployment.rs
+++ b/review/lib3/src/deployment.rs
@@ -8,6 +8,7 @@
 
 use crate::busy::{Counts, EndpointOptions, spawn_caller, spawn_endpoint};
 use crate::json::Json;
+use crate::openings::{Opening, spawn_opener};
 use crate::process::Process;
 use crate::record::Record;
 use crate::router::{Node, Router};
@@ -39,6 +40,10 @@
     /// `sloMs` and `timeoutMs` of the route.
     pub slo_ms: u64,
     pub timeout_ms: u64,
+    /// Whether the site has bounds for evacuations and for cold endpoints.
+    pub has_evacuations: bool,
+    /// Revision at which the store starts.
+    pub first_revision: u64,
     pub counts: Arc<Counts>,
 }
 
@@ -48,6 +53,7 @@
     pub plan: Plan,
     pub balancers: Vec<Process>,
     pub agents: Vec<Process>,
+    pub store: Store,
     router: Router,
     network: u8,
 }
@@ -55,7 +61,7 @@
 impl Deployment {
     /// Starts everything and waits until all balancers are in rotation.
     pub fn start(plan: Plan, folder: &Path, record: &Record) -> std::io::Result<Self> {
-        let (network, store) = bind_store()?;
+        let (network, store) = bind_store(plan.first_revision)?;
         store.write("config", "main", configuration(1, &plan));
         let mut agents = Vec::new();
         for (index, zone) in plan.agents.iter().enumerate() {
@@ -97,6 +103,7 @@
             plan,
             balancers,
             agents,
+            store,
             router,
             network,
         };
@@ -121,6 +128,25 @@
         spawn_caller(zone, address, flows, ROUTE, &self.router, &self.plan.counts)
     }
 
+    /// Starts a requester in `zone` that opens a flow at each `interval`, for one request.
+    pub fn opener(
+        &self,
+        number: usize,
+        zone: usize,
+        interval: Duration,
+    ) -> std::io::Result<JoinHandle<Vec<Opening>>> {
+        let SocketAddr::V4(address) = address(self.network, 3, number, DATA_PORT) else {
+            return Err(std::io::Error::other("not an IPv4 address"));
+        };
+        let counts = &self.plan.counts;
+        spawn_opener(zone, address, interval, ROUTE, &self.router, counts)
+    }
+
+    /// Returns the address to which an endpoint sends its packets, which names the endpoint in `Taken`.
+    pub fn endpoint_outbound(&self, index: usize) -> SocketAddr {
+        address(self.network, 2, index, OUTBOUND_PORT)
+    }
+
     /// Returns the address at which an agent serves its metrics.
     pub fn agent_metrics(&self, index: usize) -> SocketAddr {
         address(self.network, 2, index, INTERNAL_PORTS[1])
@@ -161,9 +187,14 @@
 /// Settings as `deploy/balancer.jsonc` gives them.
 fn balancer_settings(network: u8, index: usize, plan: &Plan) -> String {
     let at = |port| address(network, 1, index, port);
+    let bounds = if plan.has_evacuations {
+        "\"evacuations\": true, \"cold_start\": { \"excess\": 1.5, \"slack\": 5 }, "
+    } else {
+        ""
+    };
     format!(
         "{{ \"role\": \"balancer\", \"flows\": \"opaque\", \"failure_domain\": \"{}\", {}, \
-         \"drain_limit_ms\": 5000, {} }}",
+         {bounds}\"drain_limit_ms\": 5000, {} }}",
         plan.zones[plan.balancers[index]],
         common_settings(network, &at, plan),
         LOG
@@ -213,11 +244,11 @@
 }
 
 /// Binds the store in the first loopback network that nobody else uses.
-fn bind_store() -> std::io::Result<(u8, Store)> {
+fn bind_store(first_revision: u64) -> std::io::Result<(u8, Store)> {
     let first = std::process::id() % 100;
     for offset in 0..100 {
         let network = 20 + ((first + offset) % 100) as u8;
-        if let Ok(store) = Store::bind(address(network, 4, 0, STORE_PORT)) {
+        if let Ok(store) = Store::bind(address(network, 4, 0, STORE_PORT), first_revision) {
             return Ok((network, store));
         }
     }
--- a/review/lib3/src/lib.rs
+++ b/review/lib3/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod deployment;
 pub mod http;
 pub mod json;
+pub mod openings;
 pub mod packet;
 pub mod process;
 pub mod record;
--- a/review/lib3/src/process.rs
+++ b/review/lib3/src/process.rs
@@ -51,6 +51,11 @@
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/lib3/src/store.rs
+++ b/review/lib3/src/store.rs
@@ -18,6 +18,8 @@
 
 #[derive(Debug, Default)]
 struct Objects {
+    /// Revision at which the store began.
+    first_revision: u64,
     revision: u64,
     current: BTreeMap<(String, String), Json>,
     history: Vec<Change>,
@@ -30,9 +32,11 @@
 }
 
 impl Store {
-    pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
+    /// Starts an empty store whose revision counter starts at `first_revision`.
+    pub fn bind(address: SocketAddr, first_revision: u64) -> std::io::Result<Self> {
         let objects = Objects {
-            revision: 1,
+            first_revision,
+            revision: first_revision,
             ..Objects::default()
         };
         let store = Self {
@@ -50,6 +54,12 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes an object in the name of the operator.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.objects().remove(kind, name);
+        self.shared.1.notify_all();
+    }
+
     fn objects(&self) -> MutexGuard<'_, Objects> {
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -98,6 +108,10 @@
             .unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut objects = self.objects();
+        if from < objects.first_revision {
+            // There is no history from before the start.
+            return answer(410, "{}");
+        }
         loop {
             let is_new = |change: &&Change| change.kind == kind && change.rev > from;
             let new: Vec<Change> = objects.history.iter().filter(is_new).cloned().collect();
@@ -161,15 +175,7 @@
         if expected.is_some_and(|it: u64| it != revision_of(&existing)) {
             return answer(409, &existing.write());
         }
-        objects.revision += 1;
-        let rev = objects.revision;
-        objects.current.remove(&(kind.to_owned(), name.to_owned()));
-        objects.history.push(Change {
-            kind: kind.to_owned(),
-            object: existing.clone(),
-            rev,
-            is_deleted: true,
-        });
+        objects.remove(kind, name);
         self.shared.1.notify_all();
         answer(200, &existing.write())
     }
@@ -182,6 +188,20 @@
             .cloned()
     }
 
+    fn remove(&mut self, kind: &str, name: &str) {
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(object) = self.current.remove(&key) else {
+            return;
+        };
+        self.revision += 1;
+        self.history.push(Change {
+            kind: kind.to_owned(),
+            object,
+            rev: self.revision,
+            is_deleted: true,
+        });
+    }
+
     fn put(&mut self, kind: &str, name: &str, spec: Json) -> Json {
         self.revision += 1;
         let meta = Json::Object(vec![
